--- /dev/null
+++ b/internal/connection/wire/codec.go
@@ -0,0 +1,134 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// DecodeError tells that a frame is not a valid message.
+type DecodeError struct {
+	Reason string
+	Err    error
+}
+
+// Error names the reason and the remedy.
+func (e *DecodeError) Error() string {
+	text := "invalid frame: " + e.Reason
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text + "; remedy: run the same release on both hosts"
+}
+
+// Unwrap returns the codec's error.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// envelope is the outer array of a frame.
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Type Type
+	Body cbor.RawMessage
+}
+
+// limits for decoding; a frame comes from another host and is not trusted.
+const (
+	maxNestedLevels  = 8
+	maxArrayElements = 65536
+	maxMapPairs      = 1024
+)
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// Encode returns the frame of a message.
+func Encode(m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, &DecodeError{Reason: "cannot encode", Err: err}
+	}
+	frame, err := cbor.Marshal(envelope{Type: m.Type(), Body: body})
+	if err != nil {
+		return nil, &DecodeError{Reason: "cannot encode", Err: err}
+	}
+	if len(frame) > MaxFrameBytes {
+		return nil, &DecodeError{Reason: fmt.Sprintf("%d bytes are over the limit of %d", len(frame), MaxFrameBytes)}
+	}
+	return frame, nil
+}
+
+// Decode returns the message of a frame as a pointer to one of this package's types.
+func Decode(frame []byte) (Message, error) {
+	if len(frame) > MaxFrameBytes {
+		return nil, &DecodeError{Reason: fmt.Sprintf("%d bytes are over the limit of %d", len(frame), MaxFrameBytes)}
+	}
+	var e envelope
+	if err := decMode.Unmarshal(frame, &e); err != nil {
+		return nil, &DecodeError{Reason: "outer array", Err: err}
+	}
+	m := newMessage(e.Type)
+	if m == nil {
+		return nil, &DecodeError{Reason: fmt.Sprintf("unknown message type %d", e.Type)}
+	}
+	if err := decMode.Unmarshal(e.Body, m); err != nil {
+		return nil, &DecodeError{Reason: fmt.Sprintf("message type %d", e.Type), Err: err}
+	}
+	return m, nil
+}
+
+// newMessage returns an empty message of the type, or nil if there is no such type.
+func newMessage(t Type) Message {
+	switch t {
+	case TypeHello:
+		return &Hello{}
+	case TypePing:
+		return &Ping{}
+	case TypePong:
+		return &Pong{}
+	case TypeAttempt:
+		return &Attempt{}
+	case TypeAnswer:
+		return &Answer{}
+	case TypeAnswerAck:
+		return &AnswerAck{}
+	case TypeSettle:
+		return &Settle{}
+	case TypeSettleResult:
+		return &SettleResult{}
+	case TypeCancel:
+		return &Cancel{}
+	case TypeForward:
+		return &Forward{}
+	case TypeGrantRequest:
+		return &GrantRequest{}
+	case TypeGrantReply:
+		return &GrantReply{}
+	case TypeConsentRequest:
+		return &ConsentRequest{}
+	case TypeConsentReply:
+		return &ConsentReply{}
+	case TypeHandover:
+		return &Handover{}
+	case TypeHandoverAck:
+		return &HandoverAck{}
+	case TypeTablesRequest:
+		return &TablesRequest{}
+	case TypeTablesReply:
+		return &TablesReply{}
+	case TypeGoAway:
+		return &GoAway{}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/platform/platform.go
@@ -0,0 +1,64 @@
+// Package platform gives access to the platform's append-only log.
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Stream names a log of the platform. Offsets are counted per stream.
+type Stream string
+
+// The streams that the system uses.
+const (
+	StreamTables  Stream = "tables"
+	StreamMembers Stream = "members"
+	StreamKeepers Stream = "keepers"
+)
+
+// Offset is the position of a record in its stream. The first record has offset 0.
+type Offset uint64
+
+// Record is one entry of a stream.
+type Record struct {
+	Offset Offset
+	Data   []byte
+}
+
+// Batch is the result of one read.
+type Batch struct {
+	// First is the lowest offset that is still retained.
+	First Offset
+	// Next is the offset that the next appended record will get.
+	Next Offset
+	// Records are in offset order, without gaps, starting at the requested
+	// offset or at First if that is higher.
+	Records []Record
+}
+
+// Errors of a Log. Others may occur in wrapped form; they count as ErrUnknown.
+var (
+	// ErrRejected means that the log did not take the record and never will.
+	ErrRejected = errors.New("the platform rejected the request; retry later")
+	// ErrUnknown means that an append may have taken effect; read back to find out.
+	ErrUnknown = errors.New("the platform's answer was lost; read the stream back to learn the outcome")
+	// ErrTooLarge means that the record exceeds MaxRecordBytes.
+	ErrTooLarge = errors.New("the record is too large for the platform; split the edit")
+)
+
+// MaxRecordBytes is the largest record that a stream takes.
+const MaxRecordBytes = 1 << 20
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append adds a record to the end of a stream and returns its offset. The
+	// error wraps ErrRejected if the record was certainly not added and
+	// ErrUnknown if that is not certain.
+	Append(ctx context.Context, stream Stream, data []byte) (Offset, error)
+
+	// Read returns up to limit records from the given offset on. If there are
+	// none yet, it waits up to wait for one (long poll) and then returns an
+	// empty batch with First and Next set.
+	Read(ctx context.Context, stream Stream, from Offset, limit int, wait time.Duration) (Batch, error)
+}
