--- /dev/null
+++ b/internal/connection/peer/link.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+)
+
+// link is one WebSocket connection to a peer.
+type link struct {
+	hub  *Hub
+	conn *websocket.Conn
+	peer Identity
+
+	closeOnce sync.Once
+	done      chan struct{}
+	reason    string // set before done is closed
+}
+
+// Peer implements Link.
+func (l *link) Peer() Identity { return l.peer }
+
+// Send implements Link. A write that takes longer than the silence limit
+// closes the link, since the peer cannot be reading.
+func (l *link) Send(m wire.Message) error {
+	if l.isClosed() {
+		return ErrClosed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), l.hub.cfg.Silence)
+	defer cancel()
+	if err := l.write(ctx, m); err != nil {
+		l.Close("write failed")
+		return err
+	}
+	return nil
+}
+
+// Close implements Link.
+func (l *link) Close(reason string) {
+	l.closeOnce.Do(func() {
+		l.reason = reason
+		close(l.done)
+		// CloseNow waits for a running read, which may be the caller's own goroutine's peer.
+		go func() { _ = l.conn.CloseNow() }()
+	})
+}
+
+func (l *link) isClosed() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) write(ctx context.Context, m wire.Message) error {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	return l.conn.Write(ctx, websocket.MessageBinary, frame)
+}
+
+func (l *link) read(ctx context.Context) (wire.Message, error) {
+	kind, frame, err := l.conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, &wire.DecodeError{Reason: "text message"}
+	}
+	return wire.Decode(frame)
+}
+
+// readLoop hands on messages until the link ends and returns the reason.
+func (l *link) readLoop() string {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	silence := time.AfterFunc(l.hub.cfg.Silence, func() {
+		l.Close("silent for " + l.hub.cfg.Silence.String())
+		cancel()
+	})
+	defer silence.Stop()
+	for {
+		m, err := l.read(ctx)
+		if err != nil {
+			if l.isClosed() {
+				return l.reason
+			}
+			return err.Error()
+		}
+		silence.Reset(l.hub.cfg.Silence)
+		switch ping := m.(type) {
+		case *wire.Ping:
+			if err := l.Send(wire.Pong{Number: ping.Number}); err != nil {
+				return err.Error()
+			}
+		case *wire.Pong, *wire.Hello:
+		default:
+			l.hub.handler.Receive(l, m)
+		}
+	}
+}
+
+// pingLoop sends pings until the link is closed.
+func (l *link) pingLoop() {
+	ticker := time.NewTicker(l.hub.cfg.PingInterval)
+	defer ticker.Stop()
+	for number := uint64(1); ; number++ {
+		select {
+		case <-l.done:
+			return
+		case <-ticker.C:
+			if l.Send(wire.Ping{Number: number}) != nil {
+				return
+			}
+		}
+	}
+}
