--- a/internal/process/standin/backend.go
+++ b/internal/process/standin/backend.go
@@ -20,9 +20,6 @@
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
 )
 
-// AnnouncePath is where a backend server announces itself on its daemon's server port.
-const AnnouncePath = "/.well-known/tarragonshore/announce"
-
 // maxRequestBody bounds the bodies that the stand-in reads.
 const maxRequestBody = 8 << 20
 
@@ -380,29 +377,19 @@
 	return fail, cut
 }
 
-// Announcement is the body that a backend server posts to its daemon.
-type Announcement struct {
-	Name    string  `json:"name"`
-	Pool    string  `json:"pool"`
-	Address string  `json:"address"`
-	Slots   int     `json:"slots"`
-	State   string  `json:"state"` // starting, ready or draining
-	Load    float64 `json:"load"`  // requests in service and waiting, per slot
-}
-
 // announcement returns the server's state as it reports it.
-func (b *Backend) announcement() Announcement {
+func (b *Backend) announcement() backend.Announcement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := "ready"
+	state := backend.StateReady
 	if b.faults.Draining {
-		state = "draining"
+		state = backend.StateDraining
 	}
 	load := float64(b.running+b.waiting) / float64(b.cfg.Slots)
 	if b.faults.LoadFactor > 0 {
 		load *= b.faults.LoadFactor
 	}
-	return Announcement{
+	return backend.Announcement{
 		Name:    b.cfg.Name,
 		Pool:    b.cfg.Pool,
 		Address: b.cfg.Address,
@@ -418,7 +405,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.cfg.Daemon+AnnouncePath, bytes.NewReader(content))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.cfg.Daemon+backend.AnnouncePath, bytes.NewReader(content))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/process/testbed/process.go
@@ -0,0 +1,195 @@
+// Package testbed runs the project's programs as separate processes on the
+// loopback address, for the quick start, for load measurements and for tests
+// that need real processes. It is for development only.
+package testbed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Times for starting and stopping processes.
+const (
+	readyTimeout = 15 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	stopTimeout  = 20 * time.Second
+)
+
+// Process is a running program.
+type Process struct {
+	Name    string
+	LogPath string
+	cmd     *exec.Cmd
+	log     *os.File
+	done    chan struct{} // closed when the process has ended
+}
+
+// StartProcess runs a program and sends its output to NAME.log in dir.
+func StartProcess(dir, name, program string, args ...string) (*Process, error) {
+	path := filepath.Join(dir, name+".log")
+	log, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	// The children end with their parent, so that an aborted run leaves none behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		_ = log.Close()
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	p := &Process{Name: name, LogPath: path, cmd: cmd, log: log, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
+
+// PID returns the process number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Wait waits for the end of the process.
+func (p *Process) Wait(timeout time.Duration) error {
+	select {
+	case <-p.done:
+		_ = p.log.Close()
+		return nil
+	case <-time.After(timeout):
+		return fmt.Errorf("%s has not ended within %s; see %s", p.Name, timeout, p.LogPath)
+	}
+}
+
+// Stop asks the process to stop gracefully and kills it if it does not.
+func (p *Process) Stop() error {
+	if !p.Running() {
+		return nil
+	}
+	if err := p.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	if err := p.Wait(stopTimeout); err != nil {
+		_ = p.Kill()
+		return err
+	}
+	return nil
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return p.Wait(stopTimeout)
+}
+
+// Log returns the output so far.
+func (p *Process) Log() string {
+	content, err := os.ReadFile(p.LogPath)
+	if err != nil {
+		return ""
+	}
+	return string(content)
+}
+
+// FreePorts returns n TCP ports of the loopback address that are free now. Each
+// is also free for UDP, since a daemon uses its peer port for both.
+func FreePorts(n int) ([]int, error) {
+	listeners := make([]net.Listener, 0, n)
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	ports := make([]int, 0, n)
+	for len(ports) < n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+		port := l.Addr().(*net.TCPAddr).Port
+		udp, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		ports = append(ports, port)
+	}
+	return ports, nil
+}
+
+// WaitReady polls a URL until it answers with a status below 300.
+func WaitReady(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	last := errors.New("not asked")
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode < http.StatusMultipleChoices {
+				return nil
+			}
+			err = fmt.Errorf("status %d", response.StatusCode)
+		}
+		if ctx.Err() == nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w", url, last)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// Build compiles the programs of the module into dir.
+func Build(dir string) error {
+	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "./cmd/...")
+	root, err := moduleRoot()
+	if err != nil {
+		return err
+	}
+	cmd.Dir = root
+	if output, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("build programs: %w\n%s", err, output)
+	}
+	return nil
+}
+
+// moduleRoot returns the directory of go.mod.
+func moduleRoot() (string, error) {
+	output, err := exec.Command("go", "env", "GOMOD").Output()
+	if err != nil {
+		return "", err
+	}
+	return filepath.Dir(strings.TrimSpace(string(output))), nil
+}
