--- /dev/null
+++ b/internal/process/load/arrivals.go
@@ -0,0 +1,89 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Arrival is one intended request of a caller.
+type Arrival struct {
+	Number    int
+	At        time.Duration // since the start of the run
+	Workspace int
+	Phase     int
+	// Entitled is true if the workspace's rate and burst admit the request
+	// when they are counted exactly, at the intended send time.
+	Entitled bool
+}
+
+// idealBucket is the token bucket that the whole system together is to behave like.
+type idealBucket struct {
+	level, rate, burst float64
+	at                 time.Duration
+}
+
+func (b *idealBucket) take(at time.Duration) bool {
+	b.level = min(b.burst, b.level+(at-b.at).Seconds()*b.rate)
+	b.at = at
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// Arrivals returns the Poisson arrivals of a scenario, in the order of time.
+func Arrivals(s *Scenario, seed uint64) []Arrival {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	buckets := make([]idealBucket, len(s.Workspaces))
+	for i, w := range s.Workspaces {
+		buckets[i] = idealBucket{level: float64(w.Burst), rate: w.Rate, burst: float64(w.Burst)}
+	}
+	var arrivals []Arrival
+	var begin time.Duration
+	for index, phase := range s.Phases {
+		weights, total := phaseWeights(s, phase)
+		mean := s.Rate * phase.Demand * total.scale
+		end := begin + phase.Duration
+		for at := begin; ; {
+			at += time.Duration(rng.ExpFloat64() / mean * float64(time.Second))
+			if at >= end {
+				break
+			}
+			w := draw(rng, weights, total.weight)
+			arrivals = append(arrivals, Arrival{
+				Number: len(arrivals), At: at, Workspace: w, Phase: index, Entitled: buckets[w].take(at),
+			})
+		}
+		begin = end
+	}
+	return arrivals
+}
+
+// weightTotal is the sum of weights, and how much a hot workspace adds to the demand.
+type weightTotal struct{ weight, scale float64 }
+
+// phaseWeights returns the parts of the workspaces in the demand of a phase.
+func phaseWeights(s *Scenario, phase Phase) ([]float64, weightTotal) {
+	weights := make([]float64, len(s.Workspaces))
+	var plain, total float64
+	for i, w := range s.Workspaces {
+		weights[i] = w.Share
+		plain += w.Share
+		if w.Name == phase.HotWorkspace {
+			weights[i] *= phase.HotFactor
+		}
+		total += weights[i]
+	}
+	return weights, weightTotal{weight: total, scale: total / plain}
+}
+
+func draw(rng *rand.Rand, weights []float64, total float64) int {
+	x := rng.Float64() * total
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
--- /dev/null
+++ b/internal/process/load/driver.go
@@ -0,0 +1,192 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/process/standin"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+)
+
+// Outcome is the end of one intended request, after all of its caller's tries.
+type Outcome struct {
+	Arrival
+	Latency time.Duration // since the intended send time
+	Status  int           // of the last try; 0 if there was no answer
+	Kind    problem.Kind  // of a refusal
+	// Executed is the refusal's statement; empty for an answer.
+	Executed problem.Executed
+	Good     bool // whole, right and within the deadline
+	Crossed  bool // the answer belongs to another request
+	Tries    int
+	// NotExecuted lists the tries that were refused with executed "no".
+	NotExecuted []int
+}
+
+// Target is what a driver sends its requests to.
+type Target struct {
+	// Addresses are used in turn.
+	Addresses []string
+	// Keys hold the key of each workspace of the scenario; empty entries send none.
+	Keys []string
+}
+
+// Driver sends the arrivals of a scenario.
+type Driver struct {
+	scenario *Scenario
+	target   Target
+	client   *http.Client
+	next     atomic.Uint64
+	runID    string
+}
+
+// callerConnections is the number of idle connections kept to each address.
+const callerConnections = 2048
+
+// NewDriver returns a driver. runID makes the order numbers of runs distinct.
+func NewDriver(s *Scenario, target Target, runID string) *Driver {
+	return &Driver{
+		scenario: s,
+		target:   target,
+		runID:    runID,
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: callerConnections,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+// Order returns the number by which backend servers count the runs of a try.
+func (d *Driver) Order(number, try int) string { return fmt.Sprintf("%s-%d.%d", d.runID, number, try) }
+
+// Run sends all arrivals at their times and returns their outcomes. onPhase is
+// called as each phase begins.
+func (d *Driver) Run(ctx context.Context, arrivals []Arrival, onPhase func(index int)) []Outcome {
+	outcomes := make([]Outcome, len(arrivals))
+	start := time.Now()
+	var wg sync.WaitGroup
+	phase := -1
+	for i, arrival := range arrivals {
+		if arrival.Phase != phase {
+			phase = arrival.Phase
+			onPhase(phase)
+		}
+		if !sleepUntil(ctx, start.Add(arrival.At)) {
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			outcomes[i] = d.request(ctx, arrival, start.Add(arrival.At))
+		}()
+	}
+	wg.Wait()
+	d.client.CloseIdleConnections()
+	return outcomes
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// request sends one request with the retries of its phase.
+func (d *Driver) request(ctx context.Context, arrival Arrival, intended time.Time) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, intended.Add(d.scenario.Deadline))
+	defer cancel()
+	outcome := Outcome{Arrival: arrival}
+	tries := 1 + d.scenario.Phases[arrival.Phase].Retries
+	for outcome.Tries < tries && ctx.Err() == nil {
+		outcome.Tries++
+		d.try(ctx, &outcome, intended)
+		if outcome.Good {
+			break
+		}
+	}
+	outcome.Latency = time.Since(intended)
+	outcome.Good = outcome.Good && outcome.Latency <= d.scenario.Deadline
+	return outcome
+}
+
+// try sends the request once and notes the answer in the outcome.
+func (d *Driver) try(ctx context.Context, outcome *Outcome, intended time.Time) {
+	outcome.Status, outcome.Kind, outcome.Executed = 0, "", ""
+	if !sleepUntil(ctx, time.Now().Add(d.scenario.CallerDelay)) {
+		return
+	}
+	request, err := d.newRequest(ctx, outcome, intended)
+	if err != nil {
+		return
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || !sleepUntil(ctx, time.Now().Add(d.scenario.CallerDelay)) {
+		return
+	}
+	outcome.Status = response.StatusCode
+	if response.StatusCode != http.StatusOK {
+		noteRefusal(outcome, response.Header, body)
+		return
+	}
+	var reply standin.Reply
+	if json.Unmarshal(body, &reply) != nil {
+		return
+	}
+	outcome.Crossed = reply.Order != d.Order(outcome.Number, outcome.Tries)
+	outcome.Good = !outcome.Crossed
+}
+
+// newRequest builds the request of a try for the next address.
+func (d *Driver) newRequest(ctx context.Context, outcome *Outcome, intended time.Time) (*http.Request, error) {
+	method, path, _ := strings.Cut(d.scenario.Target, " ")
+	address := d.target.Addresses[d.next.Add(1)%uint64(len(d.target.Addresses))]
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if key := d.target.Keys[outcome.Workspace]; key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	left := time.Until(intended.Add(d.scenario.Deadline)) - 2*d.scenario.CallerDelay
+	request.Header.Set("Request-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	request.Header.Set(standin.HeaderOrder, d.Order(outcome.Number, outcome.Tries))
+	return request, nil
+}
+
+func noteRefusal(outcome *Outcome, header http.Header, body []byte) {
+	if header.Get("Content-Type") != problem.ContentType {
+		return
+	}
+	var refusal struct {
+		Kind     problem.Kind     `json:"kind"`
+		Executed problem.Executed `json:"executed"`
+	}
+	if json.Unmarshal(body, &refusal) == nil {
+		outcome.Kind, outcome.Executed = refusal.Kind, refusal.Executed
+		if refusal.Executed == problem.ExecutedNo {
+			outcome.NotExecuted = append(outcome.NotExecuted, outcome.Tries)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/load/scenario.go
@@ -0,0 +1,220 @@
+// Package load drives seeded open-loop load against running daemons and
+// reports goodput, latency, fairness and wrongful refusals. Arrivals do not
+// wait for answers, and latency counts from the intended send time, so that a
+// slow system cannot hide its delay by slowing the callers.
+package load
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Scenario describes callers, services and faults of a run.
+type Scenario struct {
+	Name string
+	// Rate is the mean number of requests per second in a phase of demand 1.
+	Rate float64
+	// Deadline is the time after which an answer is worth nothing.
+	Deadline time.Duration
+	// CallerDelay is the one-way time between a caller and a daemon.
+	CallerDelay time.Duration
+	// Target is "METHOD PATH" of the callers' requests.
+	Target     string
+	Zones      int
+	Services   []ServiceSpec
+	Workspaces []WorkspaceSpec
+	Phases     []Phase
+}
+
+// ServiceSpec is a section "[service NAME]".
+type ServiceSpec struct {
+	Name      string
+	Upstreams int
+	Slots     []int
+	ServiceMS float64
+	Calls     []string
+}
+
+// WorkspaceSpec is a section "[workspace NAME]".
+type WorkspaceSpec struct {
+	Name string
+	// Share is the workspace's part of the demand; shares need not sum to 1.
+	Share float64
+	Rate  float64
+	Burst int
+}
+
+// Phase is a section "[phase NAME]": a time with its own demand and faults.
+type Phase struct {
+	Name     string
+	Duration time.Duration
+	// Demand multiplies Scenario.Rate.
+	Demand float64
+	// Retries is the number of times that a caller repeats a failed request at once.
+	Retries int
+	// SlowPool and SlowFactor slow the backend servers of one service.
+	SlowPool   string
+	SlowFactor float64
+	// HotWorkspace sends HotFactor times its usual rate.
+	HotWorkspace string
+	HotFactor    float64
+	// Outage takes the platform down.
+	Outage bool
+}
+
+// ScenarioError names the place of an error in a scenario file and the remedy.
+type ScenarioError struct {
+	File, Section, Key, Remedy string
+}
+
+// Error implements error.
+func (e *ScenarioError) Error() string {
+	return fmt.Sprintf("%s: section [%s], key %q: %s", e.File, e.Section, e.Key, e.Remedy)
+}
+
+// LoadScenario reads a scenario file.
+func LoadScenario(path string) (*Scenario, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	file, err := ini.Load(content)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	r := &reader{path: path}
+	s := &Scenario{}
+	for _, section := range file.Sections() {
+		kind, name, _ := strings.Cut(section.Name(), " ")
+		switch kind {
+		case ini.DefaultSection:
+		case "scenario":
+			r.scenario(section, s)
+		case "service":
+			s.Services = append(s.Services, r.service(section, name))
+		case "workspace":
+			s.Workspaces = append(s.Workspaces, r.workspace(section, name))
+		case "phase":
+			s.Phases = append(s.Phases, r.phase(section, name))
+		default:
+			r.fail(section.Name(), "", "use scenario, service, workspace or phase")
+		}
+	}
+	if len(s.Services) == 0 || len(s.Workspaces) == 0 || len(s.Phases) == 0 {
+		r.fail("scenario", "", "add at least one service, workspace and phase")
+	}
+	return s, errors.Join(r.errs...)
+}
+
+// Total returns the length of all phases.
+func (s *Scenario) Total() time.Duration {
+	var total time.Duration
+	for _, phase := range s.Phases {
+		total += phase.Duration
+	}
+	return total
+}
+
+// reader collects the errors of a scenario file.
+type reader struct {
+	path string
+	errs []error
+}
+
+func (r *reader) fail(section, key, remedy string) {
+	r.errs = append(r.errs, &ScenarioError{File: r.path, Section: section, Key: key, Remedy: remedy})
+}
+
+// keys reports each key of a section that is not known.
+func (r *reader) keys(section *ini.Section, known ...string) {
+	for _, key := range section.KeyStrings() {
+		if i := sort.SearchStrings(known, key); i == len(known) || known[i] != key {
+			r.fail(section.Name(), key, "unknown key; use one of "+strings.Join(known, ", "))
+		}
+	}
+}
+
+func (r *reader) float(section *ini.Section, key string, fallback float64) float64 {
+	if !section.HasKey(key) {
+		return fallback
+	}
+	value, err := section.Key(key).Float64()
+	if err != nil || value < 0 {
+		r.fail(section.Name(), key, "write a number of at least 0")
+	}
+	return value
+}
+
+func (r *reader) duration(section *ini.Section, key string) time.Duration {
+	value, err := section.Key(key).Duration()
+	if err != nil || value < 0 {
+		r.fail(section.Name(), key, "write a duration such as 250ms")
+	}
+	return value
+}
+
+func (r *reader) scenario(section *ini.Section, s *Scenario) {
+	r.keys(section, "caller_delay", "deadline", "name", "rate", "target", "zones")
+	s.Name = section.Key("name").String()
+	s.Rate = r.float(section, "rate", 0)
+	s.Deadline = r.duration(section, "deadline")
+	s.CallerDelay = r.duration(section, "caller_delay")
+	s.Target = section.Key("target").String()
+	s.Zones = int(r.float(section, "zones", 1))
+	if !strings.Contains(s.Target, " /") {
+		r.fail(section.Name(), "target", "write METHOD PATH, e.g. GET /stock/1")
+	}
+	if s.Rate <= 0 || s.Zones < 1 {
+		r.fail(section.Name(), "rate", "set rate above 0 and zones to at least 1")
+	}
+}
+
+func (r *reader) service(section *ini.Section, name string) ServiceSpec {
+	r.keys(section, "calls", "service_ms", "slots", "upstreams")
+	spec := ServiceSpec{
+		Name:      name,
+		Upstreams: int(r.float(section, "upstreams", 1)),
+		Slots:     section.Key("slots").Ints(","),
+		ServiceMS: r.float(section, "service_ms", 1),
+	}
+	if calls := section.Key("calls").String(); calls != "" {
+		for _, call := range strings.Split(calls, ",") {
+			spec.Calls = append(spec.Calls, strings.TrimSpace(call))
+		}
+	}
+	if len(spec.Slots) == 0 || spec.Upstreams < 1 {
+		r.fail(section.Name(), "slots", "list at least one number of slots and one upstream")
+	}
+	return spec
+}
+
+func (r *reader) workspace(section *ini.Section, name string) WorkspaceSpec {
+	r.keys(section, "burst", "rate", "share")
+	return WorkspaceSpec{
+		Name:  name,
+		Share: r.float(section, "share", 1),
+		Rate:  r.float(section, "rate", 0),
+		Burst: int(r.float(section, "burst", 1)),
+	}
+}
+
+func (r *reader) phase(section *ini.Section, name string) Phase {
+	r.keys(section, "demand", "duration", "hot_factor", "hot_workspace", "outage", "retries", "slow_factor", "slow_pool")
+	return Phase{
+		Name:         name,
+		Duration:     r.duration(section, "duration"),
+		Demand:       r.float(section, "demand", 1),
+		Retries:      int(r.float(section, "retries", 0)),
+		SlowPool:     section.Key("slow_pool").String(),
+		SlowFactor:   r.float(section, "slow_factor", 1),
+		HotWorkspace: section.Key("hot_workspace").String(),
+		HotFactor:    r.float(section, "hot_factor", 1),
+		Outage:       section.Key("outage").MustBool(false),
+	}
+}
--- a/internal/process/standin/backend.go
+++ b/internal/process/standin/backend.go
@@ -23,6 +23,9 @@
 // maxRequestBody bounds the bodies that the stand-in reads.
 const maxRequestBody = 8 << 20
 
+// HeaderOrder carries the number by which the stand-ins count the runs of a request.
+const HeaderOrder = "Order-Number"
+
 // BackendConfig describes a backend server.
 type BackendConfig struct {
 	Name    string
@@ -43,10 +46,11 @@
 	// Calls lists the paths that each request calls at other services, one after
 	// the other, e.g. "GET /donors/1". Only paths that do not start with /leaf call on.
 	Calls []string
-	// CallerURL, if set, is used for calls in place of the daemon's server
-	// port. Direct comparisons without the system need it.
-	CallerURL string
-	Seed      uint64
+	// Direct lists the addresses of each pool. If it is set, calls go straight
+	// to them in turn and are tried DirectTries times: the baseline without the system.
+	Direct      map[string][]string
+	DirectTries int
+	Seed        uint64
 }
 
 // BackendFaults are the faults of a backend server, settable at any time.
@@ -79,10 +83,9 @@
 	faults  BackendFaults
 	waiting int
 	running int
-	runs    map[string]int // by order number, for checks of at most once
+	orders  map[string]*OrderReport // by order number
 	total   int
-	wasted  time.Duration // slot time of requests whose caller had gone
-	busy    time.Duration // slot time of all requests
+	direct  int // number of direct calls so far
 	keySeen bool
 }
 
@@ -94,7 +97,7 @@
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots + cfg.QueueLimit}},
 		started: time.Now(),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
-		runs:    make(map[string]int),
+		orders:  make(map[string]*OrderReport),
 	}
 	b.router = mux.NewRouter()
 	b.router.HandleFunc("/control/faults", b.handleFaults).Methods(http.MethodPut)
@@ -135,18 +138,20 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// OrderReport counts the work for one order number.
+type OrderReport struct {
+	Runs       int   `json:"runs"`
+	BusyMicros int64 `json:"busy_us"` // time in slots
+}
+
 // BackendReport is what a backend server counted since its start.
 type BackendReport struct {
 	Name     string `json:"name"`
+	Pool     string `json:"pool"`
 	Requests int    `json:"requests"`
-	// MostRuns is the greatest number of runs of one order.
-	MostRuns     int   `json:"most_runs"`
-	Orders       int   `json:"orders"`
-	BusyMicros   int64 `json:"busy_us"`
-	WastedMicros int64 `json:"wasted_us"`
 	// KeySeen is true if any request carried an Authorization field.
-	KeySeen bool           `json:"key_seen"`
-	Runs    map[string]int `json:"runs"`
+	KeySeen bool                    `json:"key_seen"`
+	Orders  map[string]*OrderReport `json:"orders"`
 }
 
 // Report returns what the server counted.
@@ -154,17 +159,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	report := BackendReport{
-		Name:         b.cfg.Name,
-		Requests:     b.total,
-		Orders:       len(b.runs),
-		BusyMicros:   b.busy.Microseconds(),
-		WastedMicros: b.wasted.Microseconds(),
-		KeySeen:      b.keySeen,
-		Runs:         make(map[string]int, len(b.runs)),
-	}
-	for order, n := range b.runs {
-		report.Runs[order] = n
-		report.MostRuns = max(report.MostRuns, n)
+		Name:     b.cfg.Name,
+		Pool:     b.cfg.Pool,
+		Requests: b.total,
+		KeySeen:  b.keySeen,
+		Orders:   make(map[string]*OrderReport, len(b.orders)),
+	}
+	for number, order := range b.orders {
+		copied := *order
+		report.Orders[number] = &copied
 	}
 	return report
 }
@@ -198,7 +201,7 @@
 	}
 	begun := time.Now()
 	status, calls := b.run(ctx, r, body)
-	b.release(begun, ctx.Err() != nil)
+	b.release(r, begun)
 	if ctx.Err() != nil {
 		http.Error(w, "deadline or cancellation", http.StatusGatewayTimeout)
 		return
@@ -241,15 +244,14 @@
 }
 
 // release frees a slot and counts its time.
-func (b *Backend) release(begun time.Time, gone bool) {
+func (b *Backend) release(r *http.Request, begun time.Time) {
 	held := time.Since(begun)
 	<-b.slots
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
-	b.busy += held
-	if gone {
-		b.wasted += held
+	if order, ok := b.orders[r.Header.Get(HeaderOrder)]; ok {
+		order.BusyMicros += held.Microseconds()
 	}
 }
 
@@ -284,9 +286,16 @@
 	if r.Header.Get("Authorization") != "" {
 		b.keySeen = true
 	}
-	if order := r.Header.Get("Order-Number"); order != "" {
-		b.runs[order]++
+	number := r.Header.Get(HeaderOrder)
+	if number == "" {
+		return
 	}
+	order, ok := b.orders[number]
+	if !ok {
+		order = &OrderReport{}
+		b.orders[number] = order
+	}
+	order.Runs++
 }
 
 // serviceTime draws how long the next request holds its slot.
@@ -306,27 +315,52 @@
 	return time.Duration(t)
 }
 
-// call sends one request to another service through the daemon.
+// call sends one request to another service, through the daemon or directly.
 func (b *Backend) call(ctx context.Context, parent *http.Request, index int, call string, body []byte) (int, error) {
 	method, path, ok := strings.Cut(call, " ")
 	if !ok {
 		return 0, fmt.Errorf("call %q is not METHOD PATH", call)
 	}
-	base := "http://" + b.cfg.Daemon
-	if b.cfg.CallerURL != "" {
-		base = b.cfg.CallerURL
+	if b.cfg.Direct == nil {
+		return b.callOnce(ctx, parent, index, method, b.cfg.Daemon, path, body)
+	}
+	var status int
+	var err error
+	for range b.cfg.DirectTries {
+		status, err = b.callOnce(ctx, parent, index, method, b.directAddress(path), path, body)
+		if err == nil && status < http.StatusInternalServerError {
+			break
+		}
 	}
+	return status, err
+}
+
+// directAddress returns the next address of the pool that the path's first segment names.
+func (b *Backend) directAddress(path string) string {
+	pool, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	addresses := b.cfg.Direct[pool]
+	if len(addresses) == 0 {
+		return b.cfg.Daemon
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.direct++
+	return addresses[b.direct%len(addresses)]
+}
+
+func (b *Backend) callOnce(ctx context.Context, parent *http.Request, index int, method, address, path string, body []byte) (int, error) {
 	var content io.Reader
 	if method != http.MethodGet {
 		content = bytes.NewReader(body)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, base+path, content)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, content)
 	if err != nil {
 		return 0, err
 	}
-	request.Header.Set(backend.HeaderRequestToken, parent.Header.Get(backend.HeaderRequestToken))
-	if order := parent.Header.Get("Order-Number"); order != "" {
-		request.Header.Set("Order-Number", order)
+	for _, name := range []string{backend.HeaderRequestToken, HeaderOrder} {
+		if value := parent.Header.Get(name); value != "" {
+			request.Header.Set(name, value)
+		}
 	}
 	if method != http.MethodGet {
 		request.Header.Set("Idempotency-Key", fmt.Sprintf("call-%d", index))
@@ -347,7 +381,7 @@
 		Server:    b.cfg.Name,
 		Path:      r.URL.Path,
 		Workspace: r.Header.Get(backend.HeaderWorkspace),
-		Order:     r.Header.Get("Order-Number"),
+		Order:     r.Header.Get(HeaderOrder),
 		BodySHA:   hex.EncodeToString(sum[:]),
 		Calls:     calls,
 	})
