--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -16,6 +16,8 @@
 	conn *websocket.Conn
 	peer Identity
 
+	out chan []byte // encoded frames for the write loop
+
 	closeOnce sync.Once
 	done      chan struct{}
 	reason    string // set before done is closed
@@ -24,19 +26,44 @@
 // Peer implements Link.
 func (l *link) Peer() Identity { return l.peer }
 
-// Send implements Link. A write that takes longer than the silence limit
-// closes the link, since the peer cannot be reading.
+// sendQueue is the number of frames that wait for the write loop. A peer that
+// lets more pile up does not read, and its link is closed.
+const sendQueue = 8192
+
+// Send implements Link. It does not wait for the network.
 func (l *link) Send(m wire.Message) error {
-	if l.isClosed() {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-l.done:
+		return ErrClosed
+	case l.out <- frame:
+		return nil
+	default:
+		l.Close("send queue full")
 		return ErrClosed
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), l.hub.cfg.Silence)
-	defer cancel()
-	if err := l.write(ctx, m); err != nil {
-		l.Close("write failed")
-		return err
+}
+
+// writeLoop writes queued frames until the link is closed. A write that takes
+// longer than the silence limit closes the link, since the peer cannot be reading.
+func (l *link) writeLoop() {
+	for {
+		select {
+		case <-l.done:
+			return
+		case frame := <-l.out:
+			ctx, cancel := context.WithTimeout(context.Background(), l.hub.cfg.Silence)
+			err := l.conn.Write(ctx, websocket.MessageBinary, frame)
+			cancel()
+			if err != nil {
+				l.Close("write failed: " + err.Error())
+				return
+			}
+		}
 	}
-	return nil
 }
 
 // Close implements Link.
@@ -44,7 +71,7 @@
 	l.closeOnce.Do(func() {
 		l.reason = reason
 		close(l.done)
-		// CloseNow waits for a running read, which may be the caller's own goroutine's peer.
+		// CloseNow waits for a running read, and the caller may be the reader.
 		go func() { _ = l.conn.CloseNow() }()
 	})
 }
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -33,8 +33,8 @@
 type Link interface {
 	// Peer returns the identity that the peer stated.
 	Peer() Identity
-	// Send writes one message. An error means that the link is closing and
-	// that the message may or may not arrive.
+	// Send queues one message and does not block. Without an error the message
+	// may still be lost, if the link ends before it is written.
 	Send(m wire.Message) error
 	// Close ends the link.
 	Close(reason string)
@@ -246,7 +246,7 @@
 	conn.SetReadLimit(wire.MaxFrameBytes)
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.DialTimeout)
 	defer cancel()
-	l := &link{hub: h, conn: conn, done: make(chan struct{})}
+	l := &link{hub: h, conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{})}
 	hello := wire.Hello{Member: h.self.Member, Incarnation: h.self.Incarnation, Zone: h.self.Zone}
 	if err := l.write(ctx, hello); err != nil {
 		return nil, err
@@ -276,14 +276,12 @@
 // run reads a link until it ends. The caller owns a registered link.
 func (h *Hub) run(l *link) {
 	h.handler.LinkUp(l)
-	pinger := make(chan struct{})
-	go func() {
-		defer close(pinger)
-		l.pingLoop()
-	}()
+	var loops sync.WaitGroup
+	loops.Go(l.pingLoop)
+	loops.Go(l.writeLoop)
 	reason := l.readLoop()
 	l.Close(reason)
-	<-pinger
+	loops.Wait()
 	h.remove(l)
 	h.handler.LinkDown(l, reason)
 }
