--- /dev/null
+++ b/internal/request/ticket/outcome.go
@@ -0,0 +1,142 @@
+package ticket
+
+import (
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+)
+
+// Outcome is what a home decides about a request with a ticket.
+type Outcome uint8
+
+// The outcomes of Home.Begin.
+const (
+	// Dispatch: the caller is the only one to run the request; it must end it
+	// with Complete, MarkUnknown or Release.
+	Dispatch Outcome = iota + 1
+	// Replay: Decision.Response is the stored answer.
+	Replay
+	// InProgress: another caller runs the request; wait for its result.
+	InProgress
+	// Conflict: the ticket was used with another request.
+	Conflict
+	// Invalid: not a ticket of this workspace.
+	Invalid
+	// Expired: too old, and not run by this call.
+	Expired
+	// WrongHome: forward the request to Decision.Home. If that daemon is gone
+	// and named no successor, the outcome is unknown.
+	WrongHome
+	// Unknown: the request may have run and is never run again.
+	Unknown
+	// Full: the table has no room; nothing was run.
+	Full
+	// Moving: the ticket is being handed over; ask again after Confirm or Abort.
+	Moving
+)
+
+// Reason explains an outcome or an error.
+type Reason string
+
+// The reasons.
+const (
+	ReasonUnused          Reason = "first use"
+	ReasonStored          Reason = "answer is stored"
+	ReasonRunning         Reason = "request is in progress"
+	ReasonOtherRequest    Reason = "ticket was used with another request"
+	ReasonMalformed       Reason = "malformed ticket"
+	ReasonBadCode         Reason = "authentication code does not match"
+	ReasonOtherWorkspace  Reason = "ticket belongs to another workspace"
+	ReasonExpired         Reason = "ticket has expired"
+	ReasonForgotten       Reason = "ticket has expired and its state is no longer kept"
+	ReasonIssuedElsewhere Reason = "ticket was issued by another daemon"
+	ReasonHandedOver      Reason = "ticket was handed over to a successor"
+	ReasonHeldByOldHome   Reason = "old home still runs the request"
+	ReasonNoAnswer        Reason = "no answer from the upstream"
+	ReasonLinkLost        Reason = "link lost and outcome not settled"
+	ReasonDeadline        Reason = "deadline passed"
+	ReasonHomeGone        Reason = "home of the ticket is gone"
+	ReasonAnswerTooLarge  Reason = "request ran, but its answer was too large to keep"
+	ReasonTableFull       Reason = "table of used tickets is full"
+	ReasonAnswersFull     Reason = "memory for stored answers is full"
+	ReasonMoving          Reason = "table is being handed over"
+	ReasonNotInProgress   Reason = "request is not in progress"
+	ReasonDispatched      Reason = "request is already dispatched"
+	ReasonOtherAttempt    Reason = "attempt is not the current one"
+	ReasonNoProof         Reason = "no proof that the attempt never ran"
+	ReasonNameTooLong     Reason = "home or workspace name is longer than 255 bytes"
+	ReasonRandom          Reason = "cannot read random bytes"
+	ReasonHandoverState   Reason = "no such hand-over is in progress"
+	ReasonSnapshotInvalid Reason = "invalid hand-over data"
+	ReasonSnapshotOrder   Reason = "hand-over data is out of order"
+)
+
+var remedies = map[Reason]string{
+	ReasonMalformed:       "send a ticket exactly as it was issued",
+	ReasonTableFull:       "wait until older tickets end, or raise the limit of used tickets",
+	ReasonAnswersFull:     "wait until older tickets end, or raise the limit of stored answers",
+	ReasonNameTooLong:     "use a shorter name",
+	ReasonMoving:          "ask the successor",
+	ReasonSnapshotInvalid: "run the same release on both hosts",
+	ReasonSnapshotOrder:   "send the exports in order",
+	ReasonNoProof:         "mark the outcome as unknown",
+}
+
+// Error is a refused operation.
+type Error struct {
+	Reason Reason
+	Err    error
+}
+
+// Error names the reason and, where there is one, the remedy.
+func (e *Error) Error() string {
+	text := "ticket: " + string(e.Reason)
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	if remedy := remedies[e.Reason]; remedy != "" {
+		text += "; remedy: " + remedy
+	}
+	return text
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Problem returns the refusal for a caller whose ticket could not be parsed.
+func (e *Error) Problem() *problem.Problem {
+	return problem.New(problem.KindTicketInvalid, string(e.Reason))
+}
+
+// Decision is the result of Home.Begin.
+type Decision struct {
+	Outcome  Outcome
+	Reason   Reason
+	Key      Key
+	Response *wire.Response   // Replay; must not be changed
+	Home     Owner            // WrongHome: who decides about the ticket
+	Executed problem.Executed // of a refusal
+}
+
+// fullRetryAfter is about the time in which a full table loses its oldest second of tickets.
+const fullRetryAfter = time.Second
+
+// Problem returns the refusal to send, or nil if the outcome is none.
+func (d Decision) Problem() *problem.Problem {
+	p := &problem.Problem{Executed: d.Executed, Detail: string(d.Reason)}
+	switch d.Outcome {
+	case Conflict:
+		p.Kind = problem.KindTicketConflict
+	case Invalid, Expired:
+		p.Kind = problem.KindTicketInvalid
+	case Unknown:
+		p.Kind = problem.KindOutcomeUnknown
+	case Full:
+		p.Kind = problem.KindOverloaded
+		p.RetryAfter = fullRetryAfter
+	default:
+		return nil
+	}
+	return p
+}
--- /dev/null
+++ b/internal/request/ticket/ticket_test.go
@@ -0,0 +1,242 @@
+package ticket_test
+
+import (
+	"bytes"
+	"crypto/rand"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/ticket"
+)
+
+func TestTicket(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ticket")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func owner(name string) ticket.Owner { return ticket.Owner{Home: name, Incarnation: 7} }
+
+func newHome(name string, options ticket.Options) *ticket.Home {
+	h, err := ticket.NewHome(owner(name), options, rand.Reader)
+	if err != nil {
+		panic(err)
+	}
+	return h
+}
+
+func issue(h *ticket.Home) ticket.Use {
+	t, err := h.Issue(start, "shop")
+	Expect(err).NotTo(HaveOccurred())
+	return ticket.Use{Ticket: t, Workspace: "shop", Deadline: start.Add(10 * time.Second)}
+}
+
+// dispatch begins a request and records its first attempt.
+func dispatch(h *ticket.Home, use ticket.Use, attempt byte) ticket.Key {
+	d := h.Begin(start, use)
+	Expect(d.Outcome).To(Equal(ticket.Dispatch))
+	Expect(h.Dispatched(d.Key, wire.AttemptID{attempt}, "b1")).To(Succeed())
+	return d.Key
+}
+
+func reasonOf(err error) ticket.Reason {
+	if e, ok := err.(*ticket.Error); ok {
+		return e.Reason
+	}
+	return ""
+}
+
+var answer = &wire.Response{Status: 201, Header: []wire.HeaderField{{Name: "Location", Value: "/orders/1"}}, Body: []byte("made")}
+
+// handOver sends one export in reverse order and confirms it.
+func handOver(from, to *ticket.Home, successor string) {
+	snapshot, err := from.Export(owner(successor))
+	Expect(err).NotTo(HaveOccurred())
+	done := false
+	for i := len(snapshot.Parts) - 1; i >= 0; i-- {
+		Expect(len(snapshot.Parts[i])).To(BeNumerically("<=", ticket.MaxPartBytes))
+		taken, err := to.Import(start, snapshot.Parts[i])
+		Expect(err).NotTo(HaveOccurred())
+		done = taken.Done
+	}
+	Expect(done).To(BeTrue())
+	Expect(from.Confirm(snapshot.Serial)).To(Succeed())
+}
+
+var _ = Describe("Ticket", func() {
+	It("keeps its fields in the text form, quoted or not", func() {
+		use := issue(newHome("a", ticket.DefaultOptions()))
+		for _, text := range []string{use.Ticket.String(), `"` + use.Ticket.String() + `"`} {
+			parsed, err := ticket.Parse(text)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(parsed).To(Equal(use.Ticket))
+		}
+	})
+
+	DescribeTable("guards against foreign or altered texts",
+		func(alter func(string) string) {
+			h := newHome("a", ticket.DefaultOptions())
+			use := issue(h)
+			parsed, err := ticket.Parse(alter(use.Ticket.String()))
+			if err != nil {
+				Expect(err.(*ticket.Error).Problem().Kind).To(Equal(problem.KindTicketInvalid))
+				return
+			}
+			use.Ticket = parsed
+			Expect(h.Begin(start, use).Outcome).To(Equal(ticket.Invalid))
+		},
+		Entry("empty", func(string) string { return "" }),
+		Entry("truncated", func(s string) string { return s[:len(s)-4] }),
+		Entry("extended", func(s string) string { return s + "AAAA" }),
+		Entry("line break", func(s string) string { return s[:8] + "\n" + s[8:] }),
+		Entry("too long", func(s string) string { return strings.Repeat("A", ticket.MaxTextBytes+4) }),
+		Entry("other number", func(s string) string {
+			b := []byte(s)
+			b[len(b)-34] ^= 1
+			return string(b)
+		}),
+	)
+})
+
+var _ = Describe("Home", func() {
+	It("runs a request once and replays its answer", func() {
+		h := newHome("a", ticket.DefaultOptions())
+		use := issue(h)
+		Expect(h.Entries()).To(BeZero(), "an unused ticket takes no memory")
+		key := dispatch(h, use, 1)
+		Expect(reasonOf(h.Dispatched(key, wire.AttemptID{2}, "b2"))).To(Equal(ticket.ReasonDispatched))
+		Expect(h.Begin(start, use).Outcome).To(Equal(ticket.InProgress))
+		Expect(reasonOf(h.Complete(key, wire.AttemptID{2}, answer))).To(Equal(ticket.ReasonOtherAttempt))
+		Expect(h.Complete(key, wire.AttemptID{1}, answer)).To(Succeed())
+		d := h.Begin(start, use)
+		Expect(d.Outcome).To(Equal(ticket.Replay))
+		Expect(d.Response).To(BeIdenticalTo(answer))
+		other := use
+		other.Fingerprint = ticket.FingerprintOf(&wire.Request{Body: []byte("other")})
+		Expect(h.Begin(start, other).Problem().Kind.Status()).To(Equal(409))
+		other = use
+		other.Workspace = "bank"
+		Expect(h.Begin(start, other).Reason).To(Equal(ticket.ReasonOtherWorkspace))
+	})
+
+	It("dispatches again only with a proof", func() {
+		h := newHome("a", ticket.DefaultOptions())
+		key := dispatch(h, issue(h), 1)
+		Expect(reasonOf(h.NotExecuted(key, wire.AttemptID{1}, 0))).To(Equal(ticket.ReasonNoProof))
+		Expect(reasonOf(h.Release(key))).To(Equal(ticket.ReasonDispatched))
+		Expect(h.NotExecuted(key, wire.AttemptID{1}, ticket.ProofFenced)).To(Succeed())
+		Expect(h.Dispatched(key, wire.AttemptID{2}, "b2")).To(Succeed())
+		Expect(h.MarkUnknown(key, wire.AttemptID{2}, ticket.ReasonLinkLost)).To(Succeed())
+		Expect(reasonOf(h.Dispatched(key, wire.AttemptID{3}, "b3"))).To(Equal(ticket.ReasonNotInProgress))
+	})
+
+	It("keeps a used ticket after its end and never runs a forgotten one, even if the clock is set back", func() {
+		h := newHome("a", ticket.DefaultOptions())
+		use, unused := issue(h), issue(h)
+		key := dispatch(h, use, 1)
+		Expect(h.Sweep(start.Add(20 * time.Second))).To(Equal([]ticket.Swept{{Key: key, Unknown: true}}))
+		end := use.Ticket.End
+		Expect(h.Begin(end, unused).Problem().Executed).To(Equal(problem.ExecutedNo))
+		h.Sweep(end.Add(20 * time.Second))
+		Expect(h.Begin(end, use).Outcome).To(Equal(ticket.Unknown))
+		h.Sweep(end.Add(40 * time.Second))
+		Expect(h.Entries()).To(BeZero())
+		Expect(h.Begin(start, use).Problem()).To(HaveField("Executed", problem.ExecutedUnknown))
+	})
+
+	It("bounds entries and answers, and forgets nothing to make room", func() {
+		options := ticket.DefaultOptions()
+		options.MaxEntries, options.MaxAnswerBytes, options.AnswerReserve = 3, 2000, 500
+		h := newHome("a", options)
+		first, second, third, fourth := issue(h), issue(h), issue(h), issue(h)
+		Expect(h.Complete(dispatch(h, first, 1), wire.AttemptID{1}, &wire.Response{Body: make([]byte, 5000)})).To(Succeed())
+		Expect(h.Begin(start, first).Reason).To(Equal(ticket.ReasonAnswerTooLarge))
+		Expect(h.Complete(dispatch(h, second, 2), wire.AttemptID{2}, &wire.Response{Body: make([]byte, 1600)})).To(Succeed())
+		Expect(h.Begin(start, third).Reason).To(Equal(ticket.ReasonAnswersFull))
+		Expect(h.Begin(start, second).Outcome).To(Equal(ticket.Replay))
+		h = newHome("a", options)
+		for range 3 {
+			key := dispatch(h, issue(h), 1)
+			Expect(h.MarkUnknown(key, wire.AttemptID{1}, ticket.ReasonNoAnswer)).To(Succeed())
+		}
+		Expect(h.Begin(start, fourth).Outcome).NotTo(Equal(ticket.Dispatch))
+		_, err := h.Issue(start, "shop")
+		Expect(reasonOf(err)).To(Equal(ticket.ReasonTableFull))
+	})
+})
+
+var _ = Describe("Hand-over", func() {
+	It("moves settled and unused tickets and lets the old home finish the rest", func() {
+		a, b := newHome("a", ticket.DefaultOptions()), newHome("b", ticket.DefaultOptions())
+		used, unused, running, refused := issue(a), issue(a), issue(a), issue(a)
+		large := &wire.Response{Status: 200, Body: bytes.Repeat([]byte("x"), 3<<20)}
+		Expect(a.Complete(dispatch(a, used, 1), wire.AttemptID{1}, large)).To(Succeed())
+		key := dispatch(a, running, 2)
+		Expect(a.Begin(start, refused).Outcome).To(Equal(ticket.Dispatch))
+		snapshot, _ := a.Export(owner("b"))
+		Expect(snapshot.Unfinished).To(Equal(2))
+		Expect(a.Begin(start, unused).Outcome).To(Equal(ticket.Moving))
+		handOver(a, b, "b")
+		for _, use := range []ticket.Use{used, unused} {
+			Expect(a.Begin(start, use)).To(SatisfyAll(HaveField("Outcome", ticket.WrongHome), HaveField("Home", owner("b"))))
+		}
+		Expect(b.Begin(start, used).Response).To(Equal(large))
+		Expect(b.Begin(start, unused).Outcome).To(Equal(ticket.Dispatch))
+		Expect(b.Begin(start, running)).To(SatisfyAll(HaveField("Outcome", ticket.WrongHome), HaveField("Home", owner("a"))))
+		Expect(a.Complete(key, wire.AttemptID{2}, answer)).To(Succeed())
+		Expect(a.Release(refused.Ticket.Key())).To(Succeed())
+		Expect(a.Begin(start, refused).Outcome).To(Equal(ticket.Moving))
+		Expect(a.Done()).To(BeFalse())
+		handOver(a, b, "b")
+		Expect(a.Done()).To(BeTrue())
+		Expect(b.Begin(start, running).Response).To(Equal(answer))
+		Expect(b.Begin(start, refused).Outcome).To(Equal(ticket.Dispatch))
+	})
+
+	It("makes held requests unknown when the old home ends, also at a second successor", func() {
+		a, b, c := newHome("a", ticket.DefaultOptions()), newHome("b", ticket.DefaultOptions()), newHome("c", ticket.DefaultOptions())
+		first, second := issue(a), issue(a)
+		key := dispatch(a, first, 1)
+		dispatch(a, second, 2)
+		handOver(a, b, "b")
+		handOver(b, c, "c")
+		Expect(c.Holders()).To(Equal([]ticket.Owner{owner("a")}))
+		Expect(a.Complete(key, wire.AttemptID{1}, answer)).To(Succeed())
+		handOver(a, c, "c")
+		Expect(c.HolderGone(owner("a"))).To(Equal(1))
+		Expect(c.Begin(start, first).Outcome).To(Equal(ticket.Replay))
+		Expect(c.Begin(start, second).Reason).To(Equal(ticket.ReasonHomeGone))
+	})
+
+	It("takes an export once, in order and as a whole, and can be aborted before", func() {
+		small := ticket.DefaultOptions()
+		small.MaxEntries = 0
+		a, b, full := newHome("a", ticket.DefaultOptions()), newHome("b", ticket.DefaultOptions()), newHome("full", small)
+		use, later := issue(a), issue(a)
+		key := dispatch(a, use, 1)
+		snapshot, _ := a.Export(owner("full"))
+		_, err := full.Import(start, snapshot.Parts[0])
+		Expect(reasonOf(err)).To(Equal(ticket.ReasonTableFull))
+		Expect(full.Origins()).To(HaveLen(1))
+		Expect(a.Abort()).To(Succeed())
+		Expect(a.Confirm(snapshot.Serial)).NotTo(Succeed())
+		first, _ := a.Export(owner("b"))
+		handOver(a, b, "b")
+		dispatch(b, later, 9)
+		Expect(b.Import(start, first.Parts[0])).To(HaveField("Done", true))
+		Expect(b.Begin(start, later).Outcome).To(Equal(ticket.InProgress))
+		Expect(a.Complete(key, wire.AttemptID{1}, answer)).To(Succeed())
+		delta, _ := a.Export(owner("b"))
+		_, err = newHome("d", ticket.DefaultOptions()).Import(start, delta.Parts[0])
+		Expect(reasonOf(err)).To(Equal(ticket.ReasonSnapshotOrder))
+		b.Sweep(start.Add(time.Hour))
+		Expect(b.Origins()).To(ConsistOf(owner("b")))
+	})
+})
