--- /dev/null
+++ b/internal/version/tables/check.go
@@ -0,0 +1,259 @@
+package tables
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bounds of the tables.
+const (
+	MaxNameBytes = 64
+	MaxRows      = 10_000
+	MaxPathBytes = 256
+	MaxMethods   = 16 // also the longest method name in bytes
+	MaxCredits   = 10
+	MaxTimeout   = 10 * time.Minute
+	MaxWarmUp    = 10 * time.Minute
+	MaxRate      = 1e9
+	MaxBurst     = 1_000_000_000
+	// MaxBodyBytes leaves 1 MiB of a frame between daemons for everything
+	// but the body.
+	MaxBodyBytes = 7 << 20
+	// MaxCanonicalBytes bounds both tables together in canonical form, so that a
+	// snapshot fits in one record of the log with 64 KiB to spare.
+	MaxCanonicalBytes = 960 << 10
+)
+
+// reservedPrefix holds the daemon's own endpoints on the caller port.
+const reservedPrefix = "/.well-known/tarragonshore"
+
+// rows holds the rows of both tables. After build the lists are sorted by name
+// (keys by digest).
+type rows struct {
+	routes     []Route
+	keys       []Key
+	pools      []Pool
+	workspaces []Workspace
+	servers    []Server
+}
+
+func (r *rows) count() int {
+	return len(r.routes) + len(r.keys) + len(r.pools) + len(r.workspaces) + len(r.servers)
+}
+
+// build sorts and checks the rows and indexes them. Faults found earlier are
+// reported with the new ones; p is nil unless the rows were parsed.
+func build(r rows, faults Errors, p *parser) (*Tables, error) {
+	r.sort()
+	c := checker{rows: &r, faults: faults, parser: p}
+	c.check()
+	if len(c.faults) > 0 {
+		return nil, c.faults
+	}
+	return index(r)
+}
+
+func (r *rows) sort() {
+	for i := range r.routes {
+		r.routes[i] = r.routes[i].clone()
+	}
+	slices.SortStableFunc(r.routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(r.keys, func(a, b Key) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
+	slices.SortStableFunc(r.pools, func(a, b Pool) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(r.workspaces, func(a, b Workspace) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(r.servers, func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// checker checks rows in the order of the canonical form.
+type checker struct {
+	rows   *rows
+	faults Errors
+	parser *parser
+}
+
+// skip is true for rows that have a fault from parsing.
+func (c *checker) skip(ref RowRef) bool { return c.parser != nil && c.parser.broken[ref] }
+
+// readable is false if references into the table cannot be checked.
+func (c *checker) readable(table Table) bool { return c.parser == nil || !c.parser.unread[table] }
+
+func (c *checker) check() {
+	if n := c.rows.count(); n > MaxRows {
+		c.faults = append(c.faults, &Error{Reason: ReasonTooLarge, Table: TableRoutes, Value: strconv.Itoa(n) + " rows",
+			Remedy: fmt.Sprintf("keep both tables together at %d rows or fewer", MaxRows)})
+		return
+	}
+	pools, workspaces := map[string]bool{}, map[string]bool{}
+	for i := range c.rows.pools {
+		pools[c.rows.pools[i].Name] = true
+	}
+	for i := range c.rows.workspaces {
+		workspaces[c.rows.workspaces[i].Name] = true
+	}
+	for i := range c.rows.routes {
+		c.route(&c.rows.routes[i], pools, workspaces)
+	}
+	c.ambiguous()
+	for i := range c.rows.keys {
+		k := &c.rows.keys[i]
+		if !c.skip(k.ref()) {
+			c.workspace(k.ref(), "workspace", k.Workspace, workspaces)
+		}
+	}
+	for i := range c.rows.pools {
+		c.pool(&c.rows.pools[i])
+	}
+	for i := range c.rows.workspaces {
+		c.workspaceRow(&c.rows.workspaces[i])
+	}
+	for i := range c.rows.servers {
+		s := &c.rows.servers[i]
+		c.name(s.ref(), s.Name)
+	}
+}
+
+// ValidName reports whether text can name a row, a daemon or a zone: 1 to 64
+// characters of a-z, 0-9, dot, underscore and hyphen.
+func ValidName(text string) bool {
+	if text == "" || len(text) > MaxNameBytes {
+		return false
+	}
+	for i := 0; i < len(text); i++ {
+		if ch := text[i]; (ch < 'a' || ch > 'z') && (ch < '0' || ch > '9') && ch != '.' && ch != '_' && ch != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+const nameRemedy = "use 1 to 64 characters of a-z, 0-9, '.', '_' and '-'"
+
+func (c *checker) name(ref RowRef, name string) {
+	if !ValidName(name) {
+		c.faults.add(ReasonBadName, ref, "", name, nameRemedy)
+	}
+}
+
+func (c *checker) bad(ref RowRef, ok bool, key string, value any, remedy string) {
+	if !ok {
+		c.faults.add(ReasonBadValue, ref, key, fmt.Sprint(value), remedy)
+	}
+}
+
+func (c *checker) route(r *Route, pools, workspaces map[string]bool) {
+	ref := r.ref()
+	c.name(ref, r.Name)
+	if c.skip(ref) {
+		return
+	}
+	remedy, ok := checkPath(r.PathPrefix)
+	c.bad(ref, ok, "path", r.PathPrefix, remedy)
+	c.methods(ref, r.Methods)
+	if !pools[r.Pool] && c.readable(TablePools) {
+		c.faults.add(ReasonDanglingReference, ref, "pool", r.Pool, "add the section [pool "+r.Pool+"] to the pools table or use an existing pool")
+	}
+	c.bad(ref, r.Importance <= LeastImportance, "importance", r.Importance, wholeNumberRemedy(0, int64(LeastImportance)))
+	c.bad(ref, r.Timeout >= time.Millisecond && r.Timeout <= MaxTimeout, "timeout", r.Timeout, "use 1ms to 10m")
+	c.bad(ref, r.Credits >= 0 && r.Credits <= MaxCredits, "credits", r.Credits, wholeNumberRemedy(0, MaxCredits))
+	c.bad(ref, r.MaxBodyBytes >= 0 && r.MaxBodyBytes <= MaxBodyBytes, "max_body", r.MaxBodyBytes, wholeNumberRemedy(0, MaxBodyBytes))
+	c.bad(ref, !r.Open || len(r.Workspaces) == 0, "workspaces", strings.Join(r.Workspaces, ", "),
+		"remove 'workspaces' or 'open': an open route checks no key and admits everybody")
+	for i, name := range r.Workspaces {
+		c.bad(ref, i == 0 || name != r.Workspaces[i-1], "workspaces", name, "name each workspace once")
+		c.workspace(ref, "workspaces", name, workspaces)
+	}
+}
+
+func (c *checker) methods(ref RowRef, methods []string) {
+	c.bad(ref, len(methods) <= MaxMethods, "methods", len(methods), wholeNumberRemedy(0, MaxMethods))
+	for i, method := range methods {
+		valid := method != "" && len(method) <= MaxMethods && strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
+		c.bad(ref, valid, "methods", method, "use HTTP methods in upper case, separated by commas; leave the line out for all methods")
+		c.bad(ref, i == 0 || method != methods[i-1], "methods", method, "name each method once")
+	}
+}
+
+func (c *checker) workspace(ref RowRef, key, name string, workspaces map[string]bool) {
+	if !workspaces[name] && c.readable(TablePools) {
+		c.faults.add(ReasonDanglingReference, ref, key, name, "add the section [workspace "+name+"] to the pools table or use an existing workspace")
+	}
+}
+
+// ambiguous reports routes that match the same requests with the same prefix.
+func (c *checker) ambiguous() {
+	type target struct{ path, method string }
+	owner := map[target]string{}
+	for i := range c.rows.routes {
+		r := &c.rows.routes[i]
+		if c.skip(r.ref()) {
+			continue
+		}
+		methods := r.Methods
+		if len(methods) == 0 {
+			methods = []string{""}
+		}
+		for _, method := range methods {
+			key := target{r.PathPrefix, method}
+			if other, taken := owner[key]; taken && other != r.Name {
+				c.faults.add(ReasonAmbiguousRoute, r.ref(), "path", strings.TrimSpace(method+" "+r.PathPrefix), "change path or methods here or in [route "+other+"]")
+				break
+			}
+			owner[key] = r.Name
+		}
+	}
+}
+
+func (c *checker) pool(p *Pool) {
+	ref := p.ref()
+	c.name(ref, p.Name)
+	if c.skip(ref) {
+		return
+	}
+	c.bad(ref, p.WarmUp >= 0 && p.WarmUp <= MaxWarmUp, "warm_up", p.WarmUp, "use 0s to 10m")
+	c.bad(ref, p.RetryRatio >= 0 && p.RetryRatio <= 1, "retry_ratio", p.RetryRatio, "use 0 to 1")
+}
+
+func (c *checker) workspaceRow(w *Workspace) {
+	ref := w.ref()
+	c.name(ref, w.Name)
+	if c.skip(ref) {
+		return
+	}
+	// Written so that NaN fails.
+	c.bad(ref, w.Rate > 0 && w.Rate <= MaxRate, "rate", w.Rate, "use a number of requests per second over 0 and at most 1e9")
+	c.bad(ref, w.Burst >= 1 && w.Burst <= MaxBurst, "burst", w.Burst, wholeNumberRemedy(1, MaxBurst))
+}
+
+func wholeNumberRemedy(low, high int64) string {
+	return fmt.Sprintf("use a whole number from %d to %d", low, high)
+}
+
+// checkPath checks a path prefix; the remedy is set if it is not valid.
+func checkPath(path string) (remedy string, ok bool) {
+	switch {
+	case path == "/":
+		return "", true
+	case !strings.HasPrefix(path, "/") || strings.HasSuffix(path, "/"):
+		return "start with '/' and do not end with '/'", false
+	case len(path) > MaxPathBytes:
+		return fmt.Sprintf("use at most %d characters", MaxPathBytes), false
+	case !MatchablePath(path):
+		return "use no empty, '.' or '..' segments", false
+	case path == reservedPrefix || strings.HasPrefix(path, reservedPrefix+"/"):
+		return "use another path: the daemon's own endpoints are below " + reservedPrefix, false
+	}
+	for i := 0; i < len(path); i++ {
+		if ch := path[i]; !isAlphanumeric(ch) && !strings.ContainsRune("/-._~:@!$&()*+,", rune(ch)) {
+			return "use letters, digits and -._~:@!$&()*+, in segments", false
+		}
+	}
+	return "", true
+}
+
+func isAlphanumeric(ch byte) bool {
+	return ch >= 'a' && ch <= 'z' || ch >= 'A' && ch <= 'Z' || ch >= '0' && ch <= '9'
+}
--- /dev/null
+++ b/internal/version/tables/errors.go
@@ -0,0 +1,100 @@
+package tables
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Table names one of the two tables in errors and command output.
+type Table string
+
+// The two tables.
+const (
+	TableRoutes Table = "routes"
+	TablePools  Table = "pools"
+)
+
+// Reason is the kind of a fault in the tables.
+type Reason string
+
+// The kinds of faults.
+const (
+	ReasonSyntax            Reason = "syntax"
+	ReasonUnknownSection    Reason = "unknown-section"
+	ReasonUnknownKey        Reason = "unknown-key"
+	ReasonDuplicateSection  Reason = "duplicate-section"
+	ReasonDuplicateKey      Reason = "duplicate-key"
+	ReasonMissingKey        Reason = "missing-key"
+	ReasonBadName           Reason = "bad-name"
+	ReasonBadValue          Reason = "bad-value"
+	ReasonDanglingReference Reason = "dangling-reference"
+	ReasonAmbiguousRoute    Reason = "ambiguous-route"
+	ReasonTooLarge          Reason = "too-large"
+	ReasonRowNotFound       Reason = "row-not-found"
+	ReasonBadChange         Reason = "bad-change"
+)
+
+// Error is one fault of the tables.
+type Error struct {
+	Reason Reason
+	Table  Table
+	// Section is the text between the brackets; empty if the fault is not in one.
+	Section string
+	// Key is the name of the setting in the section; empty if none is at fault.
+	Key    string
+	Value  string
+	Remedy string
+}
+
+// Error names table, section, key, value and remedy in one line.
+func (e *Error) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s table", e.Table)
+	if e.Section != "" {
+		fmt.Fprintf(&b, ", section [%s]", e.Section)
+	}
+	if e.Key != "" {
+		fmt.Fprintf(&b, ", key %s", e.Key)
+	}
+	fmt.Fprintf(&b, ": %s", e.Reason)
+	if e.Value != "" {
+		fmt.Fprintf(&b, " %q", truncate(e.Value))
+	}
+	fmt.Fprintf(&b, "; remedy: %s", e.Remedy)
+	return b.String()
+}
+
+// maxQuotedBytes bounds a value that is quoted in a message.
+const maxQuotedBytes = 128
+
+func truncate(value string) string {
+	if len(value) <= maxQuotedBytes {
+		return value
+	}
+	return value[:maxQuotedBytes] + "..."
+}
+
+// Errors are all faults found, in the order of the tables.
+type Errors []*Error
+
+// Error returns one line per fault.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fault := range e {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults for errors.Is and errors.As.
+func (e Errors) Unwrap() []error {
+	list := make([]error, len(e))
+	for i, fault := range e {
+		list[i] = fault
+	}
+	return list
+}
+
+func (e *Errors) add(reason Reason, ref RowRef, key, value, remedy string) {
+	*e = append(*e, &Error{Reason: reason, Table: ref.Kind.Table(), Section: ref.section(), Key: key, Value: value, Remedy: remedy})
+}
--- /dev/null
+++ b/internal/version/tables/parse.go
@@ -0,0 +1,287 @@
+package tables
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// MaxInputBytes bounds the text of one table.
+const MaxInputBytes = 4 << 20
+
+// Defaults of optional settings.
+const (
+	DefaultImportance   Importance = 3 // the default urgency of RFC 9218
+	DefaultTimeout                 = 10 * time.Second
+	DefaultCredits                 = 2
+	DefaultMaxBodyBytes            = 1 << 20
+	DefaultWarmUp                  = 10 * time.Second
+	DefaultRetryRatio              = 0.1
+)
+
+// sectionKeys lists the settings of each kind of section.
+var sectionKeys = map[RowKind][]string{
+	KindRoute:     {"path", "methods", "pool", "idempotent", "importance", "timeout", "credits", "open", "workspaces", "max_body"},
+	KindKey:       {"workspace"},
+	KindPool:      {"warm_up", "retry_ratio"},
+	KindWorkspace: {"rate", "burst"},
+	KindServer:    {"drain"},
+}
+
+// Parse reads and checks the two tables. The error is of type Errors and holds
+// all faults found.
+func Parse(routes, pools []byte) (*Tables, error) {
+	p := parser{broken: map[RowRef]bool{}}
+	p.table(TableRoutes, routes)
+	p.table(TablePools, pools)
+	return build(p.rows, p.faults, &p)
+}
+
+// parser collects rows and faults.
+type parser struct {
+	rows   rows
+	faults Errors
+	// broken rows have a fault already and are not checked again, but count
+	// as present when references are checked.
+	broken map[RowRef]bool
+	// unread is set for a table whose rows could not be read, so that
+	// references into it cannot be checked.
+	unread map[Table]bool
+}
+
+func (p *parser) syntax(table Table, value, remedy string) {
+	p.faults = append(p.faults, &Error{Reason: ReasonSyntax, Table: table, Value: value, Remedy: remedy})
+	if p.unread == nil {
+		p.unread = map[Table]bool{}
+	}
+	p.unread[table] = true
+}
+
+func (p *parser) table(table Table, text []byte) {
+	if len(text) > MaxInputBytes {
+		p.syntax(table, strconv.Itoa(len(text))+" bytes", "keep the text under "+strconv.Itoa(MaxInputBytes)+" bytes")
+		return
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:         true,
+		SpaceBeforeInlineComment:   true,
+		KeyValueDelimiters:         "=",
+		ChildSectionDelimiter:      "\x00", // no inheritance between sections
+		AllowNonUniqueSections:     true,   // duplicates are reported below
+		AllowShadows:               true,   // likewise for settings
+		AllowDuplicateShadowValues: true,
+		PreserveEmptyShadowValues:  true,
+	}, text)
+	if err != nil {
+		p.syntax(table, err.Error(), "correct the INI syntax: '[section name]', then lines 'key = value'")
+		return
+	}
+	seen := map[RowRef]bool{}
+	for i, section := range file.Sections() {
+		if i == 0 && len(section.Keys()) == 0 {
+			continue // the library's own unnamed section
+		}
+		p.section(table, section, seen)
+	}
+}
+
+func (p *parser) section(table Table, section *ini.Section, seen map[RowRef]bool) {
+	words := strings.Fields(section.Name())
+	if len(words) != 2 || sectionKeys[RowKind(words[0])] == nil || RowKind(words[0]).Table() != table {
+		p.faults = append(p.faults, &Error{Reason: ReasonUnknownSection, Table: table, Section: section.Name(), Remedy: knownSections(table)})
+		return
+	}
+	ref := RowRef{RowKind(words[0]), words[1]}
+	r := reader{ref: ref, faults: &p.faults, values: map[string]string{}}
+	if ref.Kind == KindKey {
+		digest, ok := ParseKeyDigest(ref.Name)
+		if !ok {
+			// The name may be a key that was pasted instead of its digest, so
+			// the message must not repeat it.
+			r.ref.Name = "(" + strconv.Itoa(len(ref.Name)) + " characters)"
+			r.fault(ReasonBadName, "", "", "use the SHA-256 of the key as 64 hexadecimal digits")
+		}
+		ref.Name = digest.String()
+	}
+	if seen[ref] {
+		r.fault(ReasonDuplicateSection, "", "", "keep one of the sections")
+		return
+	}
+	seen[ref] = true
+	for _, key := range section.Keys() {
+		if !slices.Contains(sectionKeys[ref.Kind], key.Name()) {
+			r.fault(ReasonUnknownKey, key.Name(), key.Value(), "use one of: "+strings.Join(sectionKeys[ref.Kind], ", "))
+			continue
+		}
+		if values := key.ValueWithShadows(); len(values) > 1 {
+			r.fault(ReasonDuplicateKey, key.Name(), strings.Join(values, " | "), "keep one of the lines")
+		}
+		r.values[key.Name()] = key.Value()
+	}
+	p.rows.add(&r)
+	if r.failed {
+		p.broken[ref] = true
+	}
+}
+
+func knownSections(table Table) string {
+	if table == TableRoutes {
+		return "use [route NAME] or [key SHA256HEX]"
+	}
+	return "use [pool NAME], [workspace NAME] or [server NAME]"
+}
+
+// add reads the row of a section.
+func (rs *rows) add(r *reader) {
+	name := r.ref.Name
+	switch r.ref.Kind {
+	case KindRoute:
+		rs.routes = append(rs.routes, Route{
+			Name:         name,
+			PathPrefix:   r.required("path"),
+			Methods:      r.list("methods"),
+			Pool:         r.required("pool"),
+			Idempotent:   r.boolean("idempotent"),
+			Importance:   Importance(r.integer("importance", int64(DefaultImportance), 0, int64(LeastImportance))),
+			Timeout:      r.duration("timeout", DefaultTimeout),
+			Credits:      int(r.integer("credits", DefaultCredits, 0, MaxCredits)),
+			Open:         r.boolean("open"),
+			Workspaces:   r.list("workspaces"),
+			MaxBodyBytes: r.bytes("max_body", DefaultMaxBodyBytes),
+		})
+	case KindKey:
+		digest, _ := ParseKeyDigest(name)
+		rs.keys = append(rs.keys, Key{Digest: digest, Workspace: r.required("workspace")})
+	case KindPool:
+		rs.pools = append(rs.pools, Pool{
+			Name:       name,
+			WarmUp:     r.duration("warm_up", DefaultWarmUp),
+			RetryRatio: r.float("retry_ratio", DefaultRetryRatio),
+		})
+	case KindWorkspace:
+		rs.workspaces = append(rs.workspaces, Workspace{
+			Name:  name,
+			Rate:  r.requiredFloat("rate"),
+			Burst: int(r.requiredInteger("burst", 1, MaxBurst)),
+		})
+	case KindServer:
+		rs.servers = append(rs.servers, Server{Name: name, Drain: r.boolean("drain")})
+	}
+}
+
+// reader reads the settings of one section and records faults.
+type reader struct {
+	ref    RowRef
+	faults *Errors
+	values map[string]string
+	failed bool
+}
+
+func (r *reader) fault(reason Reason, key, value, remedy string) {
+	r.failed = true
+	r.faults.add(reason, r.ref, key, value, remedy)
+}
+
+func (r *reader) required(key string) string {
+	value, ok := r.values[key]
+	if !ok {
+		r.fault(ReasonMissingKey, key, "", "add the line '"+key+" = ...'")
+	}
+	return value
+}
+
+func (r *reader) list(key string) []string {
+	value, ok := r.values[key]
+	if !ok || value == "" {
+		return nil
+	}
+	items := strings.Split(value, ",")
+	for i := range items {
+		items[i] = strings.TrimSpace(items[i])
+	}
+	return items
+}
+
+func (r *reader) boolean(key string) bool {
+	switch value, ok := r.values[key]; {
+	case !ok || value == "false":
+		return false
+	case value != "true":
+		r.fault(ReasonBadValue, key, value, "use true or false")
+		return false
+	}
+	return true
+}
+
+func (r *reader) integer(key string, def, low, high int64) int64 {
+	value, ok := r.values[key]
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || n < low || n > high {
+		r.fault(ReasonBadValue, key, value, wholeNumberRemedy(low, high))
+		return def
+	}
+	return n
+}
+
+func (r *reader) requiredInteger(key string, low, high int64) int64 {
+	r.required(key)
+	return r.integer(key, low, low, high)
+}
+
+func (r *reader) float(key string, def float64) float64 {
+	value, ok := r.values[key]
+	if !ok {
+		return def
+	}
+	f, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		r.fault(ReasonBadValue, key, value, "use a decimal number")
+		return def
+	}
+	return f
+}
+
+func (r *reader) requiredFloat(key string) float64 {
+	r.required(key)
+	return r.float(key, 1)
+}
+
+func (r *reader) duration(key string, def time.Duration) time.Duration {
+	value, ok := r.values[key]
+	if !ok {
+		return def
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		r.fault(ReasonBadValue, key, value, "use a number with a unit, such as 500ms or 10s")
+		return def
+	}
+	return d
+}
+
+// bytes reads a size: a whole number of bytes, or with the suffix KiB or MiB.
+func (r *reader) bytes(key string, def int64) int64 {
+	value, ok := r.values[key]
+	if !ok {
+		return def
+	}
+	factor := int64(1)
+	number := value
+	for suffix, f := range map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20} {
+		if rest, found := strings.CutSuffix(value, suffix); found {
+			number, factor = strings.TrimSpace(rest), f
+		}
+	}
+	n, err := strconv.ParseInt(number, 10, 64)
+	if err != nil || n < 0 || n > MaxBodyBytes/factor {
+		r.fault(ReasonBadValue, key, value, "use bytes or a number with KiB or MiB, at most "+strconv.Itoa(MaxBodyBytes)+" bytes")
+		return def
+	}
+	return n * factor
+}
--- /dev/null
+++ b/internal/version/tables/tables.go
@@ -0,0 +1,205 @@
+package tables
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Tables holds the rows of both tables of one version. Rows returned by
+// pointer must not be modified.
+type Tables struct {
+	rows       rows
+	digest     Digest
+	prefixes   map[string][]*Route
+	longest    int // length of the longest path prefix
+	keys       map[KeyDigest]string
+	pools      map[string]*Pool
+	workspaces map[string]*Workspace
+	servers    map[string]*Server
+}
+
+// Digest is the SHA-256 of the canonical form of both tables.
+type Digest [sha256.Size]byte
+
+// String returns the digest in lower-case hexadecimal.
+func (d Digest) String() string { return KeyDigest(d).String() }
+
+// MarshalBinary returns the 32 bytes of the digest.
+func (d Digest) MarshalBinary() ([]byte, error) { return d[:], nil }
+
+// UnmarshalBinary reads exactly 32 bytes.
+func (d *Digest) UnmarshalBinary(data []byte) error { return (*KeyDigest)(d).UnmarshalBinary(data) }
+
+// Empty returns the tables of version 0.
+func Empty() *Tables {
+	t, err := index(rows{})
+	if err != nil {
+		panic(err) // empty tables are within all bounds
+	}
+	return t
+}
+
+// index builds the look-ups of checked, sorted rows.
+func index(r rows) (*Tables, error) {
+	t := &Tables{
+		rows:       r,
+		prefixes:   make(map[string][]*Route, len(r.routes)),
+		keys:       make(map[KeyDigest]string, len(r.keys)),
+		pools:      byName(r.pools),
+		workspaces: byName(r.workspaces),
+		servers:    byName(r.servers),
+	}
+	for i := range r.routes {
+		route := &r.routes[i]
+		prefix := strings.TrimSuffix(route.PathPrefix, "/")
+		t.prefixes[prefix] = append(t.prefixes[prefix], route)
+		t.longest = max(t.longest, len(prefix))
+	}
+	for _, list := range t.prefixes {
+		// A route that names the method comes before one for all methods.
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Methods) - len(a.Methods) })
+	}
+	for i := range r.keys {
+		t.keys[r.keys[i].Digest] = r.keys[i].Workspace
+	}
+	routes, pools := t.Format()
+	if n := len(routes) + len(pools); n > MaxCanonicalBytes {
+		return nil, Errors{{Reason: ReasonTooLarge, Table: TableRoutes, Value: fmt.Sprintf("%d bytes in canonical form", n),
+			Remedy: fmt.Sprintf("keep both tables together under %d bytes: use fewer rows or shorter names", MaxCanonicalBytes)}}
+	}
+	t.digest = digest(routes, pools)
+	return t, nil
+}
+
+func digest(routes, pools []byte) Digest {
+	h := sha256.New()
+	h.Write(routes)
+	h.Write([]byte{0}) // separates the tables; not part of either text
+	h.Write(pools)
+	return Digest(h.Sum(nil))
+}
+
+func byName[T any, P rowPointer[T]](list []T) map[string]*T {
+	m := make(map[string]*T, len(list))
+	for i := range list {
+		m[P(&list[i]).ref().Name] = &list[i]
+	}
+	return m
+}
+
+// Match returns the route with the longest path prefix, in whole segments,
+// among those that admit the method; of two routes with the same prefix, the
+// one that names the method wins. The path is the decoded path of the request
+// (url.URL.Path). Paths for which MatchablePath is false match no route.
+func (t *Tables) Match(method, path string) (*Route, bool) {
+	if !MatchablePath(path) {
+		return nil, false
+	}
+	for end := len(path); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if end <= t.longest {
+			for _, route := range t.prefixes[path[:end]] {
+				if len(route.Methods) == 0 || slices.Contains(route.Methods, method) {
+					return route, true
+				}
+			}
+		}
+	}
+	return nil, false
+}
+
+// MatchablePath reports whether a request path means the same to every
+// server: it starts with '/', and has no empty segment but a last one, no '.'
+// or '..' segment (also with a ';' parameter), no backslash and no control
+// character. Other paths could match an open route here and be resolved to
+// the path of a protected one by the backend server.
+func MatchablePath(path string) bool {
+	if path == "" || path[0] != '/' {
+		return false
+	}
+	start := 1
+	for i := 1; i <= len(path); i++ {
+		if i < len(path) && path[i] != '/' {
+			if path[i] == '\\' || path[i] < ' ' || path[i] == 0x7f {
+				return false
+			}
+			continue
+		}
+		segment := path[start:i]
+		if cut := strings.IndexByte(segment, ';'); cut >= 0 {
+			segment = segment[:cut]
+		}
+		if segment == "." || segment == ".." || segment == "" && i < len(path) {
+			return false
+		}
+		start = i + 1
+	}
+	return true
+}
+
+// Key returns the workspace that a key belongs to.
+func (t *Tables) Key(digest KeyDigest) (workspace string, ok bool) {
+	workspace, ok = t.keys[digest]
+	return workspace, ok
+}
+
+// Allowed reports whether the workspace may use the route. The empty
+// workspace, that of requests without a key, may use open routes only.
+func (t *Tables) Allowed(route *Route, workspace string) bool {
+	switch {
+	case route.Open:
+		return true
+	case workspace == "":
+		return false
+	case len(route.Workspaces) == 0:
+		return true
+	}
+	_, found := slices.BinarySearch(route.Workspaces, workspace)
+	return found
+}
+
+// Route returns the route of a name, or false.
+func (t *Tables) Route(name string) (*Route, bool) {
+	r := findRow(t.rows.routes, RowRef{KindRoute, name})
+	return r, r != nil
+}
+
+// Pool returns the pool of a name, or false.
+func (t *Tables) Pool(name string) (*Pool, bool) {
+	p, ok := t.pools[name]
+	return p, ok
+}
+
+// Workspace returns the workspace of a name, or false.
+func (t *Tables) Workspace(name string) (*Workspace, bool) {
+	w, ok := t.workspaces[name]
+	return w, ok
+}
+
+// Server returns the backend server's row, or false if there is none.
+func (t *Tables) Server(name string) (*Server, bool) {
+	s, ok := t.servers[name]
+	return s, ok
+}
+
+// Routes returns the routes by name.
+func (t *Tables) Routes() []Route { return slices.Clone(t.rows.routes) }
+
+// Keys returns the keys by digest.
+func (t *Tables) Keys() []Key { return slices.Clone(t.rows.keys) }
+
+// Pools returns the pools by name.
+func (t *Tables) Pools() []Pool { return slices.Clone(t.rows.pools) }
+
+// Workspaces returns the workspaces by name.
+func (t *Tables) Workspaces() []Workspace { return slices.Clone(t.rows.workspaces) }
+
+// Servers returns the backend servers by name.
+func (t *Tables) Servers() []Server { return slices.Clone(t.rows.servers) }
+
+// Rows returns the number of rows.
+func (t *Tables) Rows() int { return t.rows.count() }
+
+// Digest returns the SHA-256 of the canonical form.
+func (t *Tables) Digest() Digest { return t.digest }
--- a/internal/version/tables/types.go
+++ b/internal/version/tables/types.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"time"
 )
 
@@ -28,52 +29,80 @@
 // String returns the digest in lower-case hexadecimal.
 func (d KeyDigest) String() string { return hex.EncodeToString(d[:]) }
 
+// ParseKeyDigest reads 64 hexadecimal digits.
+func ParseKeyDigest(text string) (KeyDigest, bool) {
+	var d KeyDigest
+	if len(text) != hex.EncodedLen(len(d)) {
+		return d, false
+	}
+	_, err := hex.Decode(d[:], []byte(text))
+	return d, err == nil
+}
+
+// MarshalBinary returns the 32 bytes of the digest.
+func (d KeyDigest) MarshalBinary() ([]byte, error) { return d[:], nil }
+
+// UnmarshalBinary reads exactly 32 bytes.
+func (d *KeyDigest) UnmarshalBinary(data []byte) error {
+	if len(data) != len(d) {
+		return fmt.Errorf("a key digest has %d bytes, not %d", len(d), len(data))
+	}
+	copy(d[:], data)
+	return nil
+}
+
+// Key is a row of the routes table: section "[key SHA256HEX]".
+type Key struct {
+	Digest    KeyDigest `cbor:"1,keyasint"`
+	Workspace string    `cbor:"2,keyasint"`
+}
+
 // Route is a row of the routes table: section "[route NAME]".
 type Route struct {
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// PathPrefix is matched by whole path segments; the longest match wins.
-	PathPrefix string
+	PathPrefix string `cbor:"2,keyasint"`
 	// Methods are upper-case; empty means all methods.
-	Methods []string
+	Methods []string `cbor:"3,keyasint,omitempty"`
 	// Pool names the row of the pools table that serves the route.
-	Pool string
+	Pool string `cbor:"4,keyasint"`
 	// Idempotent is true if running a request twice has the effect of running it once.
-	Idempotent bool
-	Importance Importance
+	Idempotent bool       `cbor:"5,keyasint,omitempty"`
+	Importance Importance `cbor:"6,keyasint,omitempty"`
 	// Timeout is the default and the upper bound of a request's time.
-	Timeout time.Duration
+	Timeout time.Duration `cbor:"7,keyasint"`
 	// Credits is the number of extra attempts in the whole tree of a request.
-	Credits int
+	Credits int `cbor:"8,keyasint,omitempty"`
 	// Open routes need no key.
-	Open bool
+	Open bool `cbor:"9,keyasint,omitempty"`
 	// Workspaces lists who may use the route; empty means all workspaces.
-	Workspaces []string
+	Workspaces []string `cbor:"10,keyasint,omitempty"`
 	// MaxBodyBytes bounds the request body.
-	MaxBodyBytes int64
+	MaxBodyBytes int64 `cbor:"11,keyasint"`
 }
 
 // Pool is a row of the pools table: section "[pool NAME]". Backend servers join
 // a pool by announcing its name.
 type Pool struct {
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// WarmUp is the time in which a new upstream's share grows to its full size.
-	WarmUp time.Duration
+	WarmUp time.Duration `cbor:"2,keyasint,omitempty"`
 	// RetryRatio bounds retries as a share of first attempts.
-	RetryRatio float64
+	RetryRatio float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Workspace is a row of the pools table: section "[workspace NAME]".
 type Workspace struct {
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// Rate is in requests per second, over all hosts together.
-	Rate float64
+	Rate float64 `cbor:"2,keyasint"`
 	// Burst is in requests, over all hosts together.
-	Burst int
+	Burst int `cbor:"3,keyasint"`
 }
 
 // Server is a row of the pools table: section "[server NAME]".
 type Server struct {
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// Drain takes the backend server out of use for new work.
-	Drain bool
+	Drain bool `cbor:"2,keyasint,omitempty"`
 }
