Add the packages retry, admission and routing with their APIs

Cause: the daemon needs the decisions on attempts, admission and the choice of an upstream as pure state machines. Change: retry has credits, budget, moves and Decide; admission has Controller (limiter, fair queue, threshold per workspace) and Hints; routing has Table, Pick and Subset. Basic tests and rapid state machines with a fixed seed. Goodput, fairness and recovery of Controller are not measured yet.

--- /dev/null
+++ b/internal/request/admission/admission_test.go
@@ -0,0 +1,107 @@
+package admission_test
+
+import (
+	"encoding/binary"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	. "tarragonshore.example/tarragonshore/internal/request/admission"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func TestAdmission(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admission")
+}
+
+var begin = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func id(n int) (out ID) {
+	binary.BigEndian.PutUint64(out[:], uint64(n))
+	return out
+}
+
+func request(n int, workspace string, importance uint8) Request {
+	return Request{ID: id(n), Workspace: workspace, Importance: importance, Deadline: begin.Add(time.Second)}
+}
+
+func newController(slots int, config Config) *Controller {
+	c := NewController(config)
+	c.SetSlots(begin, slots)
+	return c
+}
+
+var _ = Describe("Controller", func() {
+	It("starts, queues and refuses with a reason", func() {
+		c := newController(1, Config{MaxQueued: 1})
+		Expect(c.Offer(begin, request(1, "a", 4)).Reason).To(Equal(ReasonSlotFree))
+		Expect(c.Offer(begin, request(2, "a", 4)).Reason).To(Equal(ReasonNoSlot))
+		Expect(c.Offer(begin, request(2, "a", 4)).Reason).To(Equal(ReasonDuplicate))
+		Expect(c.Offer(begin, request(3, "a", 4)).Reason).To(Equal(ReasonQueueFull))
+		late := request(4, "a", 4)
+		late.Deadline = begin
+		Expect(c.Offer(begin, late).Reason).To(Equal(ReasonNoTime))
+		Expect(c.Cancel(begin, id(1))).To(Equal(CancelRunning))
+		c.Finish(begin.Add(10*time.Millisecond), id(1), 10*time.Millisecond, Succeeded)
+		Expect(c.Next(begin.Add(10 * time.Millisecond)).Start).To(Equal([]ID{id(2)}))
+		c.SetDraining(true)
+		Expect(c.Offer(begin, request(5, "a", 4)).Reason).To(Equal(ReasonDraining))
+		Expect(newController(0, Config{}).Offer(begin, request(6, "a", 4)).Reason).To(Equal(ReasonNoServer))
+	})
+
+	// Guards against less important requests that keep a place in a full queue.
+	It("displaces the least important request of the workspace with the longest queue", func() {
+		c := newController(1, Config{MaxQueued: 4})
+		c.Offer(begin, request(1, "a", 4))
+		for n, r := range []Request{request(2, "b", 6), request(3, "a", 6), request(4, "a", 6), request(5, "a", 2)} {
+			Expect(c.Offer(begin, r).Action).To(Equal(Queued), "request %d", n)
+		}
+		d := c.Offer(begin, request(6, "b", 1))
+		Expect(d.Action).To(Equal(Queued))
+		Expect(d.Displaced.ID).To(Equal(id(4)))
+		Expect(c.Offer(begin, request(7, "a", 7)).Reason).To(Equal(ReasonQueueFull))
+	})
+
+	It("refuses queued requests that waited too long even if no slot is free", func() {
+		c := newController(1, Config{})
+		c.Offer(begin, request(1, "a", 4))
+		c.Offer(begin, request(2, "a", 4))
+		Expect(c.NextWake()).To(Equal(begin.Add(50 * time.Millisecond)))
+		batch := c.Next(begin.Add(300 * time.Millisecond))
+		Expect(batch.Refuse).To(HaveLen(1))
+		Expect(batch.Refuse[0].Reason).To(Equal(ReasonQueueDelay))
+		Expect(c.QueueLen()).To(BeZero())
+		Expect(c.NextWake()).To(Equal(time.Time{}))
+	})
+
+	It("orders by importance, then admitted trees, then service received, then arrival", func() {
+		c := newController(1, Config{})
+		c.Offer(begin, request(1, "a", 4))
+		deep := request(4, "a", 4)
+		deep.Depth = 1
+		for _, r := range []Request{request(2, "a", 4), request(3, "b", 4), deep, request(5, "a", 1)} {
+			r.Cost = 10 * time.Millisecond
+			c.Offer(begin, r)
+		}
+		var order []ID
+		running := id(1)
+		for range 4 {
+			c.Finish(begin, running, 10*time.Millisecond, Succeeded)
+			running = c.Next(begin).Start[0]
+			order = append(order, running)
+		}
+		Expect(order).To(Equal([]ID{id(5), id(4), id(3), id(2)}))
+	})
+})
--- /dev/null
+++ b/internal/request/retry/retry_test.go
@@ -0,0 +1,235 @@
+package retry_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	. "tarragonshore.example/tarragonshore/internal/request/retry"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+// fullBudget returns a budget with all its tokens.
+func fullBudget() *Budget {
+	b := NewBudget(1)
+	for range MaxBudgetTokens {
+		b.FirstAttempt()
+	}
+	return b
+}
+
+// tree counts the runs of a call tree whose hops all fail.
+type tree struct {
+	fanOut int
+	runs   int
+	fail   func() Outcome // without the unspent credits
+}
+
+// call sends attempts of one call until it ends.
+func (s *tree) call(a *Account, depth int) {
+	b := fullBudget()
+	c := &Call{Idempotent: true}
+	for credits := Begin(c, a, b); ; {
+		unspent := s.run(credits, depth)
+		o := s.fail()
+		if o.Refusal != problem.KindOutcomeUnknown {
+			o.Unspent = unspent
+		}
+		d := Decide(c, a, b, o, time.Second, 0)
+		if d.Action != Retry {
+			return
+		}
+		credits = d.Credits
+	}
+}
+
+// run is the execution of one attempt; it returns the unspent credits.
+func (s *tree) run(credits Credits, depth int) Credits {
+	s.runs++
+	a := NewAccount(credits)
+	if depth > 1 {
+		for range s.fanOut {
+			s.call(&a, depth-1)
+		}
+	}
+	return a.Left()
+}
+
+// plain is the number of runs without retries.
+func plain(fanOut, depth int) int {
+	n := 1
+	if depth > 1 {
+		n += fanOut * plain(fanOut, depth-1)
+	}
+	return n
+}
+
+// Guards against retry amplification: without credits that are shared by the
+// whole tree, each level multiplies the attempts of the level below.
+var _ = DescribeTable("a tree in which every hop fails costs at most (1 + credits) times its plain size",
+	func(fanOut int) {
+		for depth := 1; depth <= 10; depth++ {
+			for credits := range 4 {
+				s := &tree{fanOut: fanOut, fail: func() Outcome { return Responded(503, 0) }}
+				a := NewAccount(Credits(credits))
+				s.call(&a, depth)
+				Expect(s.runs).To(BeNumerically("<=", (1+credits)*plain(fanOut, depth)),
+					fmt.Sprintf("fan-out %d, depth %d, credits %d", fanOut, depth, credits))
+				if credits > 0 {
+					Expect(s.runs).To(BeNumerically(">", plain(fanOut, depth)), "no retry at all")
+				}
+			}
+		}
+	},
+	Entry("chain", 1), Entry("two calls per run", 2),
+)
+
+// Guards against credits that are created by lost answers, by peers that
+// return more than they got, or by rounding.
+func TestTreeCostProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		depth := rapid.IntRange(1, 10).Draw(t, "depth")
+		fanOut := 1
+		if depth <= 5 {
+			fanOut = rapid.IntRange(1, 3).Draw(t, "fanOut")
+		}
+		credits := rapid.IntRange(0, 8).Draw(t, "credits")
+		s := &tree{fanOut: fanOut, fail: func() Outcome {
+			if rapid.Bool().Draw(t, "lost") {
+				return Lost()
+			}
+			return Responded(503, 0)
+		}}
+		a := NewAccount(Credits(credits))
+		s.call(&a, depth)
+		if limit := (1 + credits) * plain(fanOut, depth); s.runs > limit {
+			t.Fatalf("%d runs, limit %d", s.runs, limit)
+		}
+	})
+}
+
+// Guards against retries beyond a tenth of the first attempts of a pool.
+func TestBudgetProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget(DefaultRatio)
+		first, retries := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"call": func(t *rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "calls") {
+					a := NewAccount(2)
+					c := &Call{Idempotent: true}
+					Begin(c, &a, b)
+					first++
+					for Decide(c, &a, b, Responded(503, 2), time.Second, 0).Action == Retry {
+						retries++
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				if 10*retries > first {
+					t.Fatalf("%d retries of %d first attempts", retries, first)
+				}
+				if b.Tokens() > MaxBudgetTokens {
+					t.Fatalf("%v tokens", b.Tokens())
+				}
+			},
+		})
+		if first >= 20 && retries == 0 {
+			t.Fatalf("no retry of %d first attempts", first)
+		}
+	})
+}
+
+// Guards against running a non-idempotent call twice, moving what may have
+// run, more than two moves, and a "not executed" that is not true.
+func TestCallProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAccount(Credits(rapid.IntRange(0, 5).Draw(t, "credits")))
+		c := &Call{Idempotent: rapid.Bool().Draw(t, "idempotent")}
+		b := fullBudget()
+		Begin(c, &a, b)
+		mayHaveRun, moves := false, 0
+		for {
+			o := rapid.SampledFrom([]Outcome{
+				Responded(200, 0), Responded(500, 0), Responded(503, 1), Lost(),
+				Refused(problem.KindOverloaded, problem.ExecutedNo, 9),
+				Refused(problem.KindUpstreamFailed, problem.ExecutedUnknown, 0),
+				Refused(problem.KindKeyUnknown, problem.ExecutedNo, 0),
+			}).Draw(t, "outcome")
+			ran := o.Status != 0 || o.Executed != problem.ExecutedNo
+			mayHaveRun = mayHaveRun || ran
+			d := Decide(c, &a, b, o, time.Second, 0)
+			switch d.Action {
+			case Retry:
+				if !c.Idempotent {
+					t.Fatalf("retry of a non-idempotent call after %+v", o)
+				}
+			case Move:
+				if moves++; ran || moves > MaxMoves {
+					t.Fatalf("move %d after %+v", moves, o)
+				}
+			case Refuse:
+				if (d.Executed == problem.ExecutedNo) == mayHaveRun {
+					t.Fatalf("refusal says executed %q; may have run: %v", d.Executed, mayHaveRun)
+				}
+				return
+			default:
+				return
+			}
+		}
+	})
+}
+
+var _ = DescribeTable("Decide",
+	func(idempotent bool, credits int, o Outcome, remaining time.Duration, action Action, reason Reason) {
+		a := NewAccount(Credits(credits))
+		c := &Call{Idempotent: idempotent}
+		b := fullBudget()
+		Begin(c, &a, b)
+		d := Decide(c, &a, b, o, remaining, 50*time.Millisecond)
+		Expect(d.Action).To(Equal(action))
+		Expect(d.Reason).To(Equal(reason))
+	},
+	Entry("passes a response on", true, 2, Responded(200, 1), time.Second, Deliver, ReasonResponse),
+	Entry("passes 500 on", true, 2, Responded(500, 1), time.Second, Deliver, ReasonResponse),
+	Entry("retries 503", true, 2, Responded(503, 1), time.Second, Retry, ReasonServerError),
+	Entry("does not retry 503 of a non-idempotent call", false, 2, Responded(503, 1), time.Second, Deliver, ReasonNotIdempotent),
+	Entry("retries a loss from the credits that were kept", true, 2, Lost(), time.Second, Retry, ReasonUnknownOutcome),
+	Entry("does not retry a loss that took the only credit", true, 1, Lost(), time.Second, Refuse, ReasonNoCredits),
+	Entry("does not retry without time", true, 2, Lost(), 50*time.Millisecond, Refuse, ReasonNoTime),
+	Entry("moves a non-idempotent call that did not run", false, 0,
+		Refused(problem.KindDraining, problem.ExecutedNo, 0), time.Second, Move, ReasonNotExecuted),
+	Entry("does not move a withdrawn key", true, 2,
+		Refused(problem.KindKeyUnknown, problem.ExecutedNo, 2), time.Second, Refuse, ReasonFinalRefusal),
+)
+
+// Guards against allocation in the decision path.
+func BenchmarkDecide(b *testing.B) {
+	b.ReportAllocs()
+	budget := NewBudget(1)
+	for b.Loop() {
+		a := NewAccount(2)
+		c := Call{Idempotent: true}
+		Begin(&c, &a, budget)
+		Decide(&c, &a, budget, Responded(503, 1), time.Second, 0)
+	}
+}
--- /dev/null
+++ b/internal/request/routing/routing_test.go
@@ -0,0 +1,264 @@
+package routing_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/request/admission"
+	. "tarragonshore.example/tarragonshore/internal/request/routing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func TestRouting(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "routing")
+}
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// records returns n usable upstreams spread over zones.
+func records(n int, zones ...string) []Record {
+	out := make([]Record, n)
+	for i := range out {
+		out[i] = Record{ID: fmt.Sprintf("s%02d", i), Zone: zones[i%len(zones)], Usable: true}
+	}
+	return out
+}
+
+func newRNG() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// shares returns how often each upstream is picked; attempts end at once.
+func shares(t *Table, now time.Time, n int, r Request) map[string]int {
+	counts := map[string]int{}
+	rng := newRNG()
+	for range n {
+		c, ok := t.Pick(now, rng, r)
+		if ok {
+			counts[c.ID]++
+		}
+	}
+	return counts
+}
+
+var _ = Describe("Pick", func() {
+	var table *Table
+	var hints *admission.Hints
+	BeforeEach(func() {
+		hints = admission.NewHints()
+		table = NewTable(Config{Self: "d1", Zone: "a", Thresholds: hints})
+		table.Update(records(4, "a", "b"))
+	})
+
+	It("gives a reason when there is none", func() {
+		choice, ok := NewTable(Config{}).Pick(start, newRNG(), Request{})
+		Expect(ok).To(BeFalse())
+		Expect(choice.Reason).To(Equal(ReasonNoMembers))
+		choice, ok = table.Pick(start, newRNG(), Request{Exclude: table.IDs()})
+		Expect(ok).To(BeFalse())
+		Expect(choice.Reason).To(Equal(ReasonExcluded))
+	})
+
+	// Guards against sending requests that every upstream is known to shed.
+	It("says overloaded only if all usable upstreams shed the request", func() {
+		for _, id := range []string{"s00", "s01", "s02"} {
+			hints.Learn(start, id, "w", wire.Threshold{Importance: 4, Hash: 100})
+		}
+		r := Request{Workspace: "w", Importance: 4, RootHash: 100}
+		Expect(shares(table, start, 50, r)).To(Equal(map[string]int{"s03": 50}))
+		hints.Learn(start, "s03", "w", wire.Threshold{Importance: 4, Hash: 100})
+		choice, ok := table.Pick(start, newRNG(), r)
+		Expect(ok).To(BeFalse())
+		Expect(choice.Reason).To(Equal(ReasonOverloaded))
+		Expect(shares(table, start, 50, Request{Workspace: "w", Importance: 4, RootHash: 99})).To(HaveLen(4))
+		Expect(shares(table, start, 50, Request{Workspace: "other", Importance: 4, RootHash: 200})).To(HaveLen(4))
+	})
+
+	// Guards against a share of a cold server that makes its queue grow.
+	It("gives a warming upstream a share that grows", func() {
+		rs := records(4, "a", "b")
+		rs[0].ReadySince = start
+		table.Update(rs)
+		early := shares(table, start.Add(time.Second), 4000, Request{})["s00"]
+		late := shares(table, start.Add(5*time.Second), 4000, Request{})["s00"]
+		full := shares(table, start.Add(11*time.Second), 4000, Request{})["s00"]
+		Expect(early).To(BeNumerically("<", 200))
+		Expect(late).To(BeNumerically(">", early))
+		Expect(full).To(BeNumerically("~", 1000, 250))
+	})
+
+	// Guards against new work for a server that leaves.
+	It("sends nothing to a drained upstream until it is ready again", func() {
+		table.Started("s00")
+		table.Finished(start, "s00", time.Millisecond, Drained)
+		Expect(shares(table, start, 400, Request{})).NotTo(HaveKey("s00"))
+		rs := records(4, "a", "b")
+		rs[1].Usable = false
+		table.Update(rs)
+		Expect(shares(table, start, 400, Request{})).To(And(HaveLen(2), Not(HaveKey("s01"))))
+		rs[0].ReadySince = start.Add(time.Minute)
+		table.Update(rs)
+		Expect(shares(table, start.Add(2*time.Minute), 400, Request{})).To(HaveKey("s00"))
+	})
+
+	It("prefers the own zone at equal load, and other zones to a queue", func() {
+		table = NewTable(Config{Self: "d1", Zone: "a", Distance: func(zone string) time.Duration {
+			if zone == "a" {
+				return 0
+			}
+			return time.Millisecond
+		}})
+		table.Update(records(2, "a", "b"))
+		Expect(shares(table, start, 10, Request{})).To(Equal(map[string]int{"s00": 10}))
+		table.Started("s00")
+		Expect(shares(table, start, 10, Request{})).To(Equal(map[string]int{"s01": 10}))
+	})
+
+	// Guards against a failing upstream that keeps taking traffic, and against
+	// setting aside so many that the rest is overloaded.
+	It("sets failing upstreams aside for a growing time, at most half of them", func() {
+		fail := func(now time.Time, id string, n int) {
+			for range n {
+				table.Started(id)
+				table.Finished(now, id, 0, Failed)
+			}
+		}
+		for _, id := range table.IDs() {
+			fail(start, id, 3)
+		}
+		Expect(shares(table, start, 200, Request{})).To(HaveLen(2))
+		Expect(table.SetAside(start, table.IDs()[0])).To(BeTrue())
+		back := start.Add(time.Second)
+		Expect(shares(table, back, 200, Request{})).To(HaveLen(4))
+		fail(back, table.IDs()[0], 1)
+		Expect(table.SetAside(back.Add(1900*time.Millisecond), table.IDs()[0])).To(BeTrue())
+	})
+})
+
+// Guards against a subset in one zone, above its size, or that moves more than
+// one place when one member changes.
+func TestSubsetProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "zones")]
+		var rs []Record
+		for i := range rapid.IntRange(1, 60).Draw(t, "n") {
+			rs = append(rs, Record{ID: fmt.Sprint(i), Zone: rapid.SampledFrom(zones).Draw(t, "zone"), Usable: true})
+		}
+		sub := Subset("d", "a", rs)
+		if len(sub) != min(len(rs), MaxSubset) {
+			t.Fatalf("%d of %d", len(sub), len(rs))
+		}
+		different := func(list []Record) bool {
+			return slices.ContainsFunc(list, func(r Record) bool { return r.Zone != list[0].Zone })
+		}
+		if different(rs) && !different(sub) {
+			t.Fatalf("one zone only: %v", sub)
+		}
+		gone := rapid.IntRange(0, len(rs)-1).Draw(t, "gone")
+		next := Subset("d", "a", slices.Delete(slices.Clone(rs), gone, gone+1))
+		moved := 0
+		for _, r := range next {
+			if !slices.Contains(sub, r) {
+				moved++
+			}
+		}
+		if moved > 2 {
+			t.Fatalf("%d new places after one member left", moved)
+		}
+	})
+}
+
+// Guards against picks of upstreams that must not be used, in any order of events.
+func TestPickProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(Config{Self: "d", Zone: "a"})
+		rs := records(rapid.IntRange(1, 8).Draw(t, "n"), "a", "b")
+		table.Update(rs)
+		now, rng := start, newRNG()
+		drained := map[string]bool{}
+		index := rapid.IntRange(0, len(rs)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"fail": func(t *rapid.T) { table.Finished(now, rs[index.Draw(t, "i")].ID, 0, Failed) },
+			"succeed": func(t *rapid.T) {
+				table.Finished(now, rs[index.Draw(t, "i")].ID, 5*time.Millisecond, Succeeded)
+			},
+			"drain": func(t *rapid.T) {
+				i := index.Draw(t, "i")
+				if rapid.Bool().Draw(t, "by refusal") {
+					table.Finished(now, rs[i].ID, 0, Drained)
+					drained[rs[i].ID] = rs[i].Usable || drained[rs[i].ID]
+				} else {
+					rs[i].Usable = false
+				}
+				table.Update(rs)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				exclude := []string{rs[index.Draw(t, "exclude")].ID}
+				usable := 0
+				for _, r := range rs {
+					if r.Usable && !drained[r.ID] && r.ID != exclude[0] {
+						usable++
+					}
+				}
+				choice, ok := table.Pick(now, rng, Request{Exclude: exclude})
+				if ok != (usable > 0) {
+					t.Fatalf("picked %v (%s) with %d usable", ok, choice.Reason, usable)
+				}
+				if !ok {
+					return
+				}
+				i := slices.IndexFunc(rs, func(r Record) bool { return r.ID == choice.ID })
+				if !rs[i].Usable || drained[choice.ID] || choice.ID == exclude[0] {
+					t.Fatalf("picked %s", choice.ID)
+				}
+			},
+		})
+	})
+}
+
+func fullTable() (*Table, Request) {
+	hints := admission.NewHints()
+	table := NewTable(Config{Self: "d", Zone: "a", Thresholds: hints})
+	table.Update(records(MaxSubset, "a", "b", "c"))
+	for _, id := range table.IDs() {
+		hints.Learn(start, id, "workspace", wire.Threshold{Importance: 5, Hash: 10})
+	}
+	return table, Request{Workspace: "workspace", Importance: 4, Exclude: []string{"s03"}}
+}
+
+// Guards against garbage in the choice of a server, which runs for every call.
+func TestPickDoesNotAllocate(t *testing.T) {
+	table, r := fullTable()
+	rng := newRNG()
+	if n := testing.AllocsPerRun(1000, func() { table.Pick(start, rng, r) }); n != 0 {
+		t.Fatalf("%v allocations per Pick", n)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	table, r := fullTable()
+	rng := newRNG()
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Pick(start, rng, r)
+	}
+}
--- /dev/null
+++ b/internal/request/routing/subset.go
@@ -0,0 +1,70 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MaxSubset bounds the upstreams of one pool that a daemon uses.
+	MaxSubset = 16
+	// otherZones is the part of a full subset that is kept for other zones, so
+	// that the loss of the own zone leaves upstreams with open links.
+	otherZones = 4
+)
+
+// score is the rendezvous weight of an upstream for a daemon.
+func score(self, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(self)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
+
+// Subset returns the records that the daemon self in zone uses: at most
+// MaxSubset by rendezvous hashing, own zone first, with at least two zones if
+// the records have two. A change of one record changes at most one other
+// place of the subset per zone group.
+func Subset(self, zone string, records []Record) []Record {
+	type scored struct {
+		Record
+		score uint64
+	}
+	var own, other []scored
+	for _, r := range records {
+		s := scored{r, score(self, r.ID)}
+		if r.Zone == zone {
+			own = append(own, s)
+		} else {
+			other = append(other, s)
+		}
+	}
+	byScore := func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
+	}
+	slices.SortFunc(own, byScore)
+	slices.SortFunc(other, byScore)
+	if n := MaxSubset - min(len(other), otherZones); len(own) > n {
+		own = own[:n]
+	}
+	if n := MaxSubset - len(own); len(other) > n {
+		rest := other[n:]
+		other = other[:n]
+		// Without any own-zone upstream the subset must not end up in one zone.
+		if len(own) == 0 && !slices.ContainsFunc(other, func(s scored) bool { return s.Zone != other[0].Zone }) {
+			i := slices.IndexFunc(rest, func(s scored) bool { return s.Zone != other[0].Zone })
+			if i >= 0 {
+				other[n-1] = rest[i]
+			}
+		}
+	}
+	out := make([]Record, 0, len(own)+len(other))
+	for _, s := range append(own, other...) {
+		out = append(out, s.Record)
+	}
+	return out
+}
