--- /dev/null
+++ b/internal/process/membership/transport/transport_test.go
@@ -0,0 +1,257 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/process/membership"
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+)
+
+// network carries datagrams between fake sockets by channels, so that the tests
+// run in the virtual time of synctest.
+type network struct {
+	mu      sync.Mutex
+	sockets map[string]*socket
+}
+
+type packet struct {
+	from net.Addr
+	data []byte
+}
+
+type socket struct {
+	net.PacketConn // nil; only the methods below are used
+	net            *network
+	address        net.Addr
+	in             chan packet
+	closed         chan struct{}
+	once           sync.Once
+}
+
+func (n *network) listen(port uint16) *socket {
+	a := net.UDPAddrFromAddrPort(peer(port))
+	s := &socket{net: n, address: a, in: make(chan packet, 1000), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sockets[a.String()] = s
+	return s
+}
+
+func (s *socket) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case p := <-s.in:
+		return copy(b, p.data), p.from, nil
+	case <-s.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (s *socket) WriteTo(b []byte, to net.Addr) (int, error) {
+	s.net.mu.Lock()
+	defer s.net.mu.Unlock()
+	if target := s.net.sockets[to.String()]; target != nil {
+		select {
+		case target.in <- packet{s.address, append([]byte(nil), b...)}:
+		default:
+		}
+	}
+	return len(b), nil
+}
+
+func (s *socket) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
+// fakeLog is a log in memory. The answers to the first loseAnswers appends are
+// lost; every second one of these has taken effect.
+type fakeLog struct {
+	mu          sync.Mutex
+	records     []platform.Record
+	appends     int
+	loseAnswers int
+}
+
+func (l *fakeLog) Append(_ context.Context, _ platform.Stream, data []byte) (platform.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.appends <= l.loseAnswers && l.appends%2 == 1 {
+		return 0, errors.New("connection reset")
+	}
+	offset := platform.Offset(len(l.records))
+	l.records = append(l.records, platform.Record{Offset: offset, Data: data})
+	if l.appends <= l.loseAnswers {
+		return 0, fmt.Errorf("append: %w", platform.ErrUnknown)
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		l.mu.Lock()
+		b := platform.Batch{Next: platform.Offset(len(l.records))}
+		if from < b.Next {
+			b.Records = append(b.Records, l.records[from:min(from+platform.Offset(limit), b.Next)]...)
+		}
+		l.mu.Unlock()
+		if len(b.Records) > 0 || !time.Now().Before(deadline) {
+			return b, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func peer(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+}
+
+func self(port uint16, incarnation uint64) membership.Record {
+	return membership.Record{
+		Name: fmt.Sprintf("host-%d", port), Incarnation: incarnation,
+		Fixed:  membership.Fixed{Zone: "a", Region: "r", Peer: peer(port)},
+		Detail: membership.Detail{Servers: []membership.Server{{Name: "s", Pool: "p", Slots: 10, State: membership.ServerReady}}},
+	}
+}
+
+// launch runs a service, and an announcer if there is a log, until the context ends.
+func launch(ctx context.Context, group *sync.WaitGroup, conn net.PacketConn, r membership.Record, log platform.Log, seeds ...netip.AddrPort) *Service {
+	s, err := New(Options{Conn: conn, Clock: SystemClock{}, Rand: rand.New(rand.NewPCG(r.Incarnation, 1)), Self: r, Seeds: seeds})
+	Expect(err).NotTo(HaveOccurred())
+	group.Go(func() { _ = s.Run(ctx) })
+	if log != nil {
+		group.Go(func() {
+			seed, _ := ReadSeed(ctx, log, SystemClock{}, r.Name)
+			a := &Announcer{Log: log, Clock: SystemClock{}, Service: s, Rand: rand.New(rand.NewPCG(r.Incarnation, 2))}
+			a.Run(ctx, seed)
+		})
+	}
+	return s
+}
+
+// inBubble runs a test in virtual time and waits for its goroutines.
+func inBubble(t *testing.T, test func(ctx context.Context, n *network, group *sync.WaitGroup)) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		test(ctx, &network{sockets: map[string]*socket{}}, &group)
+		cancel()
+		group.Wait()
+	})
+}
+
+func TestTransport(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "transport")
+}
+
+var _ = ginkgo.DescribeTable("the incarnation",
+	func(clock int64, highest, want uint64) {
+		Expect(ChooseIncarnation(time.Unix(0, clock), highest)).To(Equal(want))
+	},
+	ginkgo.Entry("is the wall clock", int64(100), uint64(99), uint64(100)),
+	ginkgo.Entry("is above an equal one on the log", int64(100), uint64(100), uint64(101)),
+	ginkgo.Entry("is above a greater one, if the clock was set back", int64(100), uint64(200), uint64(201)),
+)
+
+// Guards against members that find each other only by seeds, not by the log, and
+// against a subscription that misses events.
+func TestMembersFindEachOtherByTheLog(t *testing.T) {
+	inBubble(t, func(ctx context.Context, n *network, group *sync.WaitGroup) {
+		log := &fakeLog{}
+		a := launch(ctx, group, n.listen(1), self(1, 1), log)
+		var mu sync.Mutex
+		up := 0
+		a.Subscribe(func(action membership.Action) {
+			mu.Lock()
+			defer mu.Unlock()
+			if _, ok := action.(membership.MemberUp); ok {
+				up++
+			}
+		})
+		b := launch(ctx, group, n.listen(2), self(2, 2), log)
+		time.Sleep(30 * time.Second)
+		Expect(a.View().Alive).To(Equal(2))
+		Expect(b.View().Alive).To(Equal(2))
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(up).To(Equal(1))
+	})
+}
+
+// Guards against a lost append answer that leads to no announcement or to two.
+func TestLostAppendAnswer(t *testing.T) {
+	for lost, appends := range []int{1, 2, 2} {
+		inBubble(t, func(ctx context.Context, n *network, group *sync.WaitGroup) {
+			log := &fakeLog{loseAnswers: lost}
+			launch(ctx, group, n.listen(1), self(1, 1), log)
+			time.Sleep(time.Minute)
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			Expect(log.appends).To(Equal(appends), "lost answers: %d", lost)
+			Expect(log.records).To(HaveLen(1))
+		})
+	}
+}
+
+// Guards against a leaving member that others take for dead, and against a later
+// reader of the log that takes it for alive.
+func TestLeave(t *testing.T) {
+	inBubble(t, func(ctx context.Context, n *network, group *sync.WaitGroup) {
+		a := launch(ctx, group, n.listen(1), self(1, 1), nil)
+		b := launch(ctx, group, n.listen(2), self(2, 2), nil, peer(1))
+		time.Sleep(5 * time.Second)
+		Expect(b.Leave(ctx)).To(Succeed())
+		Expect(a.Lookup("host-2").State).To(Equal(membership.StateLeft))
+		log := &fakeLog{}
+		announcer := &Announcer{Log: log, Clock: SystemClock{}, Service: b, Rand: rand.New(rand.NewPCG(1, 1))}
+		Expect(announcer.Announce(ctx)).To(Succeed())
+		seed, err := ReadSeed(ctx, log, SystemClock{}, "host-3")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seed.Records[0].Left).To(BeTrue())
+	})
+}
+
+// Guards against a service that does not work on a real socket. The verdict
+// depends on an event, not on a time.
+func TestLoopback(t *testing.T) {
+	RegisterTestingT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	listen := func() (net.PacketConn, uint16) {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		return conn, conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	}
+	first, firstPort := listen()
+	second, secondPort := listen()
+	a := launch(ctx, &group, first, self(firstPort, 1), nil)
+	up := make(chan string, 10)
+	a.Subscribe(func(action membership.Action) {
+		if m, ok := action.(membership.MemberUp); ok {
+			up <- m.Member.Name
+		}
+	})
+	launch(ctx, &group, second, self(secondPort, 2), nil, peer(firstPort))
+	Expect(<-up).To(Equal(self(secondPort, 2).Name))
+}
