--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -151,13 +151,13 @@
 	return problem.New(problem.KindRequestInvalid, "the body ended early: "+err.Error())
 }
 
-// WriteResponse sends a whole response.
-func WriteResponse(w http.ResponseWriter, response *wire.Response) {
+// WriteResponse sends a whole response to a request of the given method.
+func WriteResponse(w http.ResponseWriter, method string, response *wire.Response) {
 	header := w.Header()
 	for _, field := range response.Header {
 		header.Add(field.Name, field.Value)
 	}
-	if response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
+	if method != http.MethodHead && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	}
 	w.WriteHeader(response.Status)
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -12,9 +12,10 @@
 
 // link is one WebSocket connection to a peer.
 type link struct {
-	hub  *Hub
-	conn *websocket.Conn
-	peer Identity
+	hub    *Hub
+	conn   *websocket.Conn
+	peer   Identity
+	number uint64
 
 	out chan []byte // encoded frames for the write loop
 
@@ -26,6 +27,9 @@
 // Peer implements Link.
 func (l *link) Peer() Identity { return l.peer }
 
+// Number implements Link.
+func (l *link) Number() uint64 { return l.number }
+
 // sendQueue is the number of frames that wait for the write loop. A peer that
 // lets more pile up does not read, and its link is closed.
 const sendQueue = 8192
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -33,6 +33,8 @@
 type Link interface {
 	// Peer returns the identity that the peer stated.
 	Peer() Identity
+	// Number is unique among the links of a hub, and above 0.
+	Number() uint64
 	// Send queues one message and does not block. Without an error the message
 	// may still be lost, if the link ends before it is written.
 	Send(m wire.Message) error
@@ -89,6 +91,7 @@
 	all    map[*link]struct{}
 	dials  map[string]*dial // by member and address
 	closed bool
+	opened uint64 // number of links so far
 }
 
 // dial is a connection set-up that several callers wait for.
@@ -268,6 +271,8 @@
 	if h.closed {
 		return nil, ErrClosed
 	}
+	h.opened++
+	l.number = h.opened
 	h.all[l] = struct{}{}
 	h.links[l.peer.Member] = l
 	return l, nil
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -240,7 +240,6 @@
 type TablesReply struct {
 	Number   uint64 `cbor:"1,keyasint"`
 	Snapshot []byte `cbor:"2,keyasint,omitempty"`
-	AgeMS    uint32 `cbor:"3,keyasint,omitempty"` // time since the peer read the log's end
 }
 
 // GoAway says that the sender takes no new attempts.
--- /dev/null
+++ b/internal/process/daemon/configuration.go
@@ -0,0 +1,318 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/membership"
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/version/freshness"
+	"tarragonshore.example/tarragonshore/internal/version/history"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// Times and sizes of following the tables stream.
+const (
+	readLimit      = 256
+	readErrorDelay = 250 * time.Millisecond
+	peerRetryDelay = 250 * time.Millisecond
+	// freshnessCache is how long a decision about keys is reused, so that
+	// requests do not compute it each.
+	freshnessCache = 50 * time.Millisecond
+	repostInterval = time.Second
+)
+
+// tablesInForce is one version of the tables. It is immutable.
+type tablesInForce struct {
+	Version tables.Version
+	Tables  *tables.Tables
+}
+
+// drained tells whether the operators took a backend server out of use.
+func (t *tablesInForce) drained(server string) bool {
+	row, ok := t.Tables.Server(server)
+	return ok && row.Drain
+}
+
+// configuration follows the tables stream. Its lock guards reader, readAt,
+// decision and decidedAt.
+type configuration struct {
+	log      platform.Log
+	members  *members
+	pollWait time.Duration
+	// onChange is called, without the lock, with each new version.
+	onChange func(*tablesInForce)
+
+	inForce   atomic.Pointer[tablesInForce]
+	freshTill atomic.Int64 // UnixNano until which the own read is recent enough
+
+	mu        sync.Mutex
+	reader    *history.Reader
+	readAt    time.Time
+	decision  freshness.Decision
+	decidedAt time.Time
+}
+
+func newConfiguration(log platform.Log, members *members, pollWait, retention time.Duration, rng *rand.Rand) *configuration {
+	c := &configuration{
+		log:      log,
+		members:  members,
+		pollWait: pollWait,
+		reader:   history.NewReader(retention, rng),
+	}
+	c.inForce.Store(&tablesInForce{Tables: tables.Empty()})
+	return c
+}
+
+// current returns the version in force. A request keeps it to its end.
+func (c *configuration) current() *tablesInForce { return c.inForce.Load() }
+
+// run follows the stream until ctx ends.
+func (c *configuration) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := c.readOnce(ctx); err != nil && ctx.Err() == nil {
+			logging.Event(1, "tables-read-failed", "error", err.Error())
+			pause(ctx, readErrorDelay)
+		}
+		c.catchUp(ctx)
+	}
+}
+
+// readOnce reads one batch. At the end of the stream it is a long poll.
+func (c *configuration) readOnce(ctx context.Context) error {
+	c.mu.Lock()
+	from, atEnd := c.reader.ReadFrom(), c.reader.AtEnd()
+	c.mu.Unlock()
+	wait := time.Duration(0)
+	if atEnd {
+		wait = c.pollWait
+	}
+	begun := time.Now()
+	batch, err := c.log.Read(ctx, platform.StreamTables, from, readLimit, wait)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	events := c.reader.Apply(batch, time.Now())
+	if c.reader.AtEnd() {
+		c.readAt = begun
+		c.freshTill.Store(begun.Add(freshness.MaxAge).UnixNano())
+	}
+	c.mu.Unlock()
+	logHistory(events)
+	c.applied()
+	return nil
+}
+
+// logHistory writes a line per event of the stream.
+func logHistory(events []history.Event) {
+	for _, event := range events {
+		switch e := event.(type) {
+		case history.Accepted:
+			logging.Event(0, "edit-accepted", "version", e.Version, "offset", e.Offset, "id", e.ID, "author", e.Author, "rows", len(e.Changes))
+		case history.Rejected:
+			logging.Event(0, "edit-rejected", "offset", e.Offset, "id", e.ID, "reason", string(e.Reason), "base", e.Base, "current", e.Current)
+		case history.SnapshotAdopted:
+			logging.Event(0, "snapshot-adopted", "version", e.Version, "as_of", e.AsOf, "from_peer", e.FromPeer)
+		case history.SnapshotIgnored:
+			logging.Event(1, "snapshot-ignored", "version", e.Version, "as_of", e.AsOf, "reason", string(e.Reason))
+		case history.Malformed:
+			logging.Event(0, "record-malformed", "offset", e.Offset, "error", e.Err.Error())
+		case history.Gap:
+			logging.Event(0, "tables-gap", "next", e.Next, "first", e.First)
+		}
+	}
+}
+
+// applied puts the reader's version in force and tells the members about it.
+func (c *configuration) applied() {
+	c.mu.Lock()
+	next := &tablesInForce{Version: c.reader.Version(), Tables: c.reader.Tables()}
+	status := membership.Status{Version: uint64(next.Version), Offset: uint64(c.reader.Next()), ReadAt: c.readAt}
+	changed := next.Version != c.current().Version
+	if changed {
+		c.inForce.Store(next)
+	}
+	c.mu.Unlock()
+	c.members.service.SetStatus(status)
+	if changed {
+		logging.Event(0, "version-in-force", "version", next.Version, "digest", next.Tables.Digest())
+		c.onChange(next)
+	}
+}
+
+// position returns the offset of the next record and the age of the last read
+// of the stream's end in milliseconds, or -1.
+func (c *configuration) position(now time.Time) (uint64, int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readAt.IsZero() {
+		return uint64(c.reader.Next()), -1
+	}
+	return uint64(c.reader.Next()), now.Sub(c.readAt).Milliseconds()
+}
+
+// trustKeys returns a refusal if the tables cannot be shown to be current.
+func (c *configuration) trustKeys(now time.Time) *problem.Problem {
+	if now.UnixNano() < c.freshTill.Load() {
+		return nil
+	}
+	decision := c.decide(now)
+	if decision.Serve() {
+		return nil
+	}
+	return problem.New(problem.KindTablesStale, string(decision.Reason)).WithRetryAfter(time.Second)
+}
+
+// decide returns the freshness decision, at most freshnessCache old.
+func (c *configuration) decide(now time.Time) freshness.Decision {
+	reports, asked, answered := c.members.service.Reports()
+	view := c.members.service.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.decidedAt) < freshnessCache {
+		return c.decision
+	}
+	in := freshness.Input{
+		Now:       now,
+		ReadAt:    c.readAt,
+		HasTables: c.reader.Version() > 0,
+		Offset:    c.reader.Next(),
+		Known:     view.Known,
+		Reachable: view.Alive,
+		Asked:     asked,
+		Answered:  answered,
+	}
+	for _, report := range reports {
+		in.Reports = append(in.Reports, freshness.Report{
+			Member:    report.Member,
+			Age:       report.Age,
+			Offset:    platform.Offset(report.Offset),
+			AskedAt:   report.AskedAt,
+			Reachable: view.Find(report.Member) != nil,
+		})
+	}
+	previous := c.decision.State
+	c.decision, c.decidedAt = freshness.Decide(in), now
+	if c.decision.State != previous {
+		logging.Event(0, "freshness", "state", c.decision.State, "reason", string(c.decision.Reason), "from", c.decision.From)
+	}
+	return c.decision
+}
+
+// checkKey returns a refusal if the key that a call came with is not valid here.
+func (c *configuration) checkKey(now time.Time, current *tablesInForce, call wire.Context) *problem.Problem {
+	if call.Open {
+		return nil
+	}
+	workspace, ok := current.Tables.Key(tables.KeyDigest(call.KeyDigest))
+	if !ok || workspace != call.Workspace {
+		return problem.New(problem.KindKeyUnknown, "the key is not in version "+versionText(current.Version))
+	}
+	return c.trustKeys(now)
+}
+
+// catchUp asks a member for its tables if the stream cannot give them.
+func (c *configuration) catchUp(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	needs := c.reader.NeedsPeer() || c.readAt.IsZero()
+	c.mu.Unlock()
+	from := ""
+	if now.UnixNano() >= c.freshTill.Load() {
+		from = c.decide(now).From
+	}
+	if !needs && from == "" {
+		return
+	}
+	if from == "" {
+		from = c.anyMember()
+	}
+	if from == "" {
+		return
+	}
+	link, err := c.members.link(ctx, from)
+	if err != nil {
+		return
+	}
+	_ = link.Send(wire.TablesRequest{})
+	pause(ctx, peerRetryDelay)
+}
+
+// anyMember returns a random member other than this one, or "".
+func (c *configuration) anyMember() string {
+	view := c.members.service.View()
+	if len(view.Members) == 0 {
+		return ""
+	}
+	begin := rand.IntN(len(view.Members))
+	for i := range view.Members {
+		member := view.Members[(begin+i)%len(view.Members)]
+		if member.Name != c.members.self {
+			return member.Name
+		}
+	}
+	return ""
+}
+
+// onTablesRequest sends this daemon's tables to a peer.
+func (c *configuration) onTablesRequest(link peer.Link, m *wire.TablesRequest) {
+	c.mu.Lock()
+	snapshot, ok := c.reader.Snapshot()
+	c.mu.Unlock()
+	reply := wire.TablesReply{Number: m.Number}
+	if ok {
+		if encoded, err := snapshot.Encode(); err == nil {
+			reply.Snapshot = encoded
+		}
+	}
+	_ = link.Send(reply)
+}
+
+// onTablesReply adopts a peer's tables if they are ahead of the own ones.
+func (c *configuration) onTablesReply(m *wire.TablesReply) {
+	if len(m.Snapshot) == 0 {
+		return
+	}
+	snapshot, err := history.DecodeSnapshot(m.Snapshot)
+	if err != nil {
+		logging.Event(0, "snapshot-malformed", "error", err.Error())
+		return
+	}
+	c.mu.Lock()
+	event := c.reader.AdoptPeerSnapshot(snapshot, time.Now())
+	c.mu.Unlock()
+	if event != nil {
+		logHistory([]history.Event{event})
+	}
+	c.applied()
+}
+
+// repost appends snapshots when it is time, until ctx ends, so that the tables
+// outlive the retention of the stream.
+func (c *configuration) repost(ctx context.Context) {
+	for pause(ctx, repostInterval) {
+		c.mu.Lock()
+		record, due := c.reader.Repost(time.Now())
+		c.mu.Unlock()
+		if !due {
+			continue
+		}
+		offset, err := c.log.Append(ctx, platform.StreamTables, record)
+		logging.Event(0, "snapshot-appended", "offset", offset, "bytes", len(record), "error", errorText(err))
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/process/daemon/links.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/metrics"
+	"tarragonshore.example/tarragonshore/internal/process/workers"
+)
+
+// links hands the events of peer links to the parts that they concern, on the
+// worker pool. The events of one link stay in order.
+type links struct {
+	pool          *workers.Pool
+	metrics       *metrics.Metrics
+	configuration *configuration
+	dispatcher    *dispatcher
+	executor      *executor
+	tickets       *tickets
+	rates         *rates
+	groups        *groups
+	handover      *handover
+}
+
+// LinkUp implements peer.Handler.
+func (l *links) LinkUp(link peer.Link) {
+	l.metrics.Link("up")
+	logging.Event(1, "link-up", "peer", link.Peer().Member, "incarnation", link.Peer().Incarnation, "zone", link.Peer().Zone)
+	l.pool.Submit(link.Number(), func() {
+		l.groups.peerSeen(link.Peer())
+		l.dispatcher.onLinkUp(link)
+	})
+}
+
+// LinkDown implements peer.Handler.
+func (l *links) LinkDown(link peer.Link, reason string) {
+	l.metrics.Link("down")
+	logging.Event(1, "link-down", "peer", link.Peer().Member, "reason", reason)
+	l.pool.Submit(link.Number(), func() {
+		l.dispatcher.onLinkDown(link)
+		if _, ok := l.executor.hub.Existing(link.Peer().Member); !ok {
+			l.executor.linkDown(peerOf(link))
+		}
+		l.rates.onLinkDown(link)
+	})
+}
+
+// Receive implements peer.Handler.
+func (l *links) Receive(link peer.Link, m wire.Message) {
+	l.pool.Submit(link.Number(), func() { l.handle(link, m) })
+}
+
+// handle passes a message to the part that it concerns. It does not block.
+func (l *links) handle(link peer.Link, m wire.Message) {
+	from := peerOf(link)
+	switch m := m.(type) {
+	case *wire.Attempt:
+		l.executor.handle(from, m)
+	case *wire.Answer:
+		l.dispatcher.onAnswer(link, from, m)
+	case *wire.AnswerAck:
+		l.executor.ack(from, m.ID)
+	case *wire.Settle:
+		l.executor.settle(link, m.ID)
+	case *wire.SettleResult:
+		l.dispatcher.onSettleResult(link, m)
+	case *wire.Cancel:
+		l.executor.cancel(from, m.ID)
+	case *wire.Forward:
+		go l.tickets.onForward(link, m, l.configuration.current())
+	case *wire.GrantRequest:
+		l.rates.onGrantRequest(link, m)
+	case *wire.GrantReply:
+		l.rates.apply(m)
+	case *wire.ConsentRequest:
+		l.groups.onConsentRequest(link, m)
+	case *wire.ConsentReply:
+		l.groups.onConsentReply(link, m)
+	case *wire.Handover:
+		l.handover.onHandover(link, m)
+	case *wire.HandoverAck:
+		l.handover.onAck(m)
+	case *wire.TablesRequest:
+		l.configuration.onTablesRequest(link, m)
+	case *wire.TablesReply:
+		l.configuration.onTablesReply(m)
+	case *wire.GoAway:
+		logging.Event(1, "peer-leaving", "peer", from.Member, "reason", m.Reason)
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/rates.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/ratelimit"
+	"tarragonshore.example/tarragonshore/internal/request/execution"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// keeperDialTimeout bounds the set-up of a link to a keeper. It leaves time
+// within ratelimit.AnswerTime to ask once more.
+const keeperDialTimeout = 100 * time.Millisecond
+
+// rates is this daemon as a holder of tokens. Its lock guards holder, waiting
+// and sentOn.
+type rates struct {
+	self    ratelimit.HolderID
+	members *members
+	groups  *groups
+
+	mu     sync.Mutex
+	holder *ratelimit.Holder
+	// waiting holds a channel per workspace with waiting requests. It is closed
+	// when they should ask again.
+	waiting map[string]chan struct{}
+	// sentOn names the link of each request to a keeper that has no reply yet.
+	sentOn map[uint64]uint64
+}
+
+func newRates(self execution.Peer, members *members, groups *groups, count uint32, rng *rand.Rand) *rates {
+	return &rates{
+		self:    ratelimit.HolderID{Member: self.Member, Incarnation: self.Incarnation},
+		members: members,
+		groups:  groups,
+		holder:  ratelimit.NewHolder(count, rng),
+		waiting: make(map[string]chan struct{}),
+		sentOn:  make(map[uint64]uint64),
+	}
+}
+
+// setLimits applies the limits of a new version.
+func (r *rates) setLimits(workspaces []tables.Workspace) {
+	now := time.Now()
+	r.mu.Lock()
+	r.holder.SetLimits(now, workspaces)
+	r.mu.Unlock()
+	r.groups.setLimits(now, workspaces)
+}
+
+// take spends a token of the workspace, or returns the refusal.
+func (r *rates) take(ctx context.Context, requestID, workspace string) *problem.Problem {
+	asked := time.Now()
+	r.mu.Lock()
+	decision := r.holder.Take(asked, workspace)
+	for decision.Verdict == ratelimit.MustAsk {
+		wake, ok := r.waiting[workspace]
+		if !ok {
+			wake = make(chan struct{})
+			r.waiting[workspace] = wake
+		}
+		r.mu.Unlock()
+		if decision.Send {
+			r.flush()
+		}
+		if !r.waitForTokens(ctx, wake, asked) {
+			r.mu.Lock()
+			r.holder.Leave(workspace)
+			r.mu.Unlock()
+			return problem.New(problem.KindDeadline, "no token within the request's time")
+		}
+		r.mu.Lock()
+		decision = r.holder.TakeAgain(time.Now(), workspace, asked)
+	}
+	r.mu.Unlock()
+	if decision.Send {
+		go r.flush()
+	}
+	logging.Event(2, "rate", "request", requestID, "workspace", workspace, "reason", string(decision.Reason))
+	return rateProblem(workspace, decision)
+}
+
+// waitForTokens waits for a reply that concerns the workspace, or for the end
+// of the time to answer. It returns false if ctx ends first.
+func (r *rates) waitForTokens(ctx context.Context, wake <-chan struct{}, asked time.Time) bool {
+	timer := time.NewTimer(time.Until(asked.Add(ratelimit.AnswerTime)))
+	defer timer.Stop()
+	select {
+	case <-wake:
+		return true
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func rateProblem(workspace string, decision ratelimit.Decision) *problem.Problem {
+	switch decision.Verdict {
+	case ratelimit.RateExceeded:
+		return problem.New(problem.KindRateExceeded, "workspace "+workspace+": "+string(decision.Reason)).WithRetryAfter(decision.RetryAfter)
+	case ratelimit.RateUnavailable:
+		return problem.New(problem.KindRateUnavailable, "workspace "+workspace+": "+string(decision.Reason)).WithRetryAfter(decision.RetryAfter)
+	default:
+		return nil
+	}
+}
+
+// run sends what the holder has to send until ctx ends.
+func (r *rates) run(ctx context.Context) {
+	ticker := time.NewTicker(ratelimit.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.flush()
+		}
+	}
+}
+
+// flush sends the holder's requests to their keepers.
+func (r *rates) flush() {
+	r.mu.Lock()
+	requests := r.holder.Requests(time.Now())
+	r.mu.Unlock()
+	for i := range requests {
+		r.send(&requests[i])
+	}
+}
+
+// send passes a request to the keeper of its group.
+func (r *rates) send(request *wire.GrantRequest) {
+	keeper, ok := r.groups.keeperOf(request.Group)
+	if !ok {
+		r.failed(request.Number)
+		return
+	}
+	if keeper.Member == r.self.Member {
+		reply := r.groups.grant(time.Now(), r.self, request)
+		r.apply(&reply)
+		return
+	}
+	if link, ok := r.members.hub.Existing(keeper.Member); ok {
+		r.sendOn(link, request)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), keeperDialTimeout)
+		defer cancel()
+		link, err := r.members.link(ctx, keeper.Member)
+		if err != nil {
+			r.failed(request.Number)
+			return
+		}
+		r.sendOn(link, request)
+	}()
+}
+
+func (r *rates) sendOn(link peer.Link, request *wire.GrantRequest) {
+	r.mu.Lock()
+	r.sentOn[request.Number] = link.Number()
+	r.mu.Unlock()
+	if link.Send(request) != nil {
+		r.failed(request.Number)
+	}
+}
+
+// failed tells the holder that a request got no reply.
+func (r *rates) failed(number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.sentOn, number)
+	r.wake(r.holder.Failed(time.Now(), number))
+}
+
+// apply takes a keeper's reply.
+func (r *rates) apply(reply *wire.GrantReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.sentOn, reply.Number)
+	r.wake(r.holder.Apply(time.Now(), reply))
+}
+
+// wake lets the requests of the workspaces ask again. The caller holds the lock.
+func (r *rates) wake(workspaces []string) {
+	for _, workspace := range workspaces {
+		if waiting, ok := r.waiting[workspace]; ok {
+			close(waiting)
+			delete(r.waiting, workspace)
+		}
+	}
+}
+
+// onLinkDown ends the requests that were sent on a link.
+func (r *rates) onLinkDown(link peer.Link) {
+	r.mu.Lock()
+	var lost []uint64
+	for number, on := range r.sentOn {
+		if on == link.Number() {
+			lost = append(lost, number)
+		}
+	}
+	r.mu.Unlock()
+	for _, number := range lost {
+		r.failed(number)
+	}
+}
+
+// onGrantRequest answers another holder.
+func (r *rates) onGrantRequest(link peer.Link, request *wire.GrantRequest) {
+	from := link.Peer()
+	reply := r.groups.grant(time.Now(), ratelimit.HolderID{Member: from.Member, Incarnation: from.Incarnation}, request)
+	_ = link.Send(reply)
+}
+
+// returnAll gives all tokens back, for a planned stop.
+func (r *rates) returnAll() {
+	r.mu.Lock()
+	r.holder.ReturnAll(time.Now())
+	r.mu.Unlock()
+	r.flush()
+}
--- /dev/null
+++ b/internal/process/daemon/serverport.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"tarragonshore.example/tarragonshore/internal/connection/backend"
+	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/request/execution"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/retry"
+	"tarragonshore.example/tarragonshore/internal/request/ticket"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// childPoll is how often a repeated call asks for the end of the first one.
+const childPoll = 5 * time.Millisecond
+
+// serverPort serves the own backend server: its announcements and its calls to
+// other services.
+type serverPort struct {
+	configuration *configuration
+	server        *serverState
+	executor      *executor
+	dispatcher    *dispatcher
+}
+
+// handler returns the routes of the server port.
+func (p *serverPort) handler() http.Handler {
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.HandleFunc(backend.AnnouncePath, p.serveAnnouncement).Methods(http.MethodPost)
+	router.PathPrefix("/").HandlerFunc(p.serveCall)
+	return router
+}
+
+func (p *serverPort) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
+	announcement, err := backend.DecodeAnnouncement(r.Body)
+	if err == nil {
+		err = p.server.announced(time.Now(), announcement)
+	}
+	if err != nil {
+		problem.New(problem.KindRequestInvalid, err.Error()).Write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveCall carries out a call of the own backend server.
+func (p *serverPort) serveCall(w http.ResponseWriter, r *http.Request) {
+	token := r.Header.Get(backend.HeaderRequestToken)
+	response, refusal := p.call(r, token)
+	if refusal != nil {
+		if refusal.Kind == problem.KindOverloaded {
+			p.executor.noteShedBelow(token)
+		}
+		refusal.Write(w)
+		return
+	}
+	caller.WriteResponse(w, r.Method, response)
+}
+
+// call checks a call and runs it within the limits of its parent.
+func (p *serverPort) call(r *http.Request, token string) (*wire.Response, *problem.Problem) {
+	now := time.Now()
+	current := p.configuration.current()
+	route, ok := current.Tables.Match(r.Method, r.URL.Path)
+	if !ok {
+		return nil, problem.New(problem.KindRouteNotFound, r.Method+" "+r.URL.Path+" matches no route")
+	}
+	var inherited wire.Context
+	var refusal *problem.Problem
+	p.executor.withChildren(func(c *execution.Children) { inherited, refusal = c.Lookup(now, token) })
+	if refusal == nil {
+		refusal = p.configuration.checkKey(now, current, inherited)
+	}
+	if refusal == nil && !route.Open && !current.Tables.Allowed(route, inherited.Workspace) {
+		refusal = problem.New(problem.KindRouteForbidden, "route "+route.Name+" does not admit workspace "+inherited.Workspace)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	c, refusal := childCall(r, route, inherited, now)
+	if refusal != nil {
+		return nil, refusal
+	}
+	key, refusal := caller.IdempotencyKey(r.Header)
+	if refusal != nil {
+		return nil, refusal
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	return p.runChild(ctx, c, token, key)
+}
+
+// childCall builds the call with what it inherits from its parent.
+func childCall(r *http.Request, route *tables.Route, inherited wire.Context, now time.Time) (*call, *problem.Problem) {
+	timeout, refusal := caller.Timeout(r.Header, min(route.Timeout, inherited.Remaining()))
+	if refusal != nil {
+		return nil, refusal
+	}
+	request, refusal := caller.ReadRequest(r, route.MaxBodyBytes)
+	if refusal != nil {
+		return nil, refusal
+	}
+	inherited.Idempotent = route.Idempotent
+	// A call is never more important than the request that it serves.
+	inherited.Importance = uint8(caller.Importance(r.Header, max(route.Importance, tables.Importance(inherited.Importance))))
+	return &call{
+		id:       requestID(r),
+		route:    route,
+		context:  inherited,
+		request:  request,
+		deadline: now.Add(timeout),
+	}, nil
+}
+
+// runChild runs a call at most once for its key and run, if it is not idempotent.
+func (p *serverPort) runChild(ctx context.Context, c *call, token, key string) (*wire.Response, *problem.Problem) {
+	fingerprint := ticket.FingerprintOf(&c.request)
+	for {
+		decision := p.executor.childBegin(token, key, fingerprint, c.route.Idempotent)
+		switch decision.Outcome {
+		case execution.ChildDispatch:
+			return p.dispatchChild(ctx, c, token, key)
+		case execution.ChildReplay:
+			return decision.Response, nil
+		case execution.ChildInProgress:
+			if !pause(ctx, childPoll) {
+				return nil, problem.Unknown(problem.KindOutcomeUnknown, "the call with this key is still running")
+			}
+		default:
+			return nil, decision.Problem
+		}
+	}
+}
+
+// pause waits and returns false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// dispatchChild runs a call with a part of its parent's credits. A
+// non-idempotent one goes on if the server's connection breaks, since the
+// server may repeat it.
+func (p *serverPort) dispatchChild(ctx context.Context, c *call, token, key string) (*wire.Response, *problem.Problem) {
+	if c.route.Idempotent {
+		return p.finishChild(ctx, c, token, key)
+	}
+	type result struct {
+		response *wire.Response
+		refusal  *problem.Problem
+	}
+	done := make(chan result, 1)
+	go func() {
+		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+		defer cancel()
+		response, refusal := p.finishChild(runCtx, c, token, key)
+		done <- result{response, refusal}
+	}()
+	select {
+	case r := <-done:
+		return r.response, r.refusal
+	case <-ctx.Done():
+		return nil, problem.Unknown(problem.KindOutcomeUnknown, "the call's time is over")
+	}
+}
+
+// finishChild runs the call and stores its end.
+func (p *serverPort) finishChild(ctx context.Context, c *call, token, key string) (*wire.Response, *problem.Problem) {
+	account := p.takeCredits(token, c.context.Credits)
+	c.account = &account
+	response, refusal := p.dispatcher.run(ctx, c)
+	p.executor.withChildren(func(children *execution.Children) {
+		children.ReturnCredits(token, uint8(account.Left()))
+		switch {
+		case response != nil:
+			children.Complete(token, key, response)
+		case refusal.Executed == problem.ExecutedNo:
+			children.Abandon(token, key)
+		default:
+			children.MarkUnknown(token, key, execution.ReasonUnsettled)
+		}
+	})
+	logging.Event(2, "child-call", "request", c.id, "route", c.route.Name, "depth", c.context.Depth,
+		"workspace", c.context.Workspace, "answered", response != nil)
+	return response, refusal
+}
+
+// takeCredits moves a part of the run's credits to an account of the call.
+func (p *serverPort) takeCredits(token string, left uint8) retry.Account {
+	part, _ := retry.Credits(left).Split()
+	var taken uint8
+	p.executor.withChildren(func(c *execution.Children) { taken = c.TakeCredits(token, uint8(part)) })
+	return retry.NewAccount(retry.Credits(taken))
+}
--- /dev/null
+++ b/internal/process/daemon/settlement.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/request/execution"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/ticket"
+)
+
+// Times of settling attempts after a lost link.
+const (
+	reconnectDelay   = 50 * time.Millisecond
+	reconnectTimeout = 500 * time.Millisecond
+	deadlineSweep    = 100 * time.Millisecond
+)
+
+// onAnswer takes an answer from a link, or from the own executor if link is nil.
+func (d *dispatcher) onAnswer(link peer.Link, from execution.Peer, answer *wire.Answer) {
+	d.perform(link, d.locked(func() []execution.Action { return d.pending.OnAnswer(from, answer) }))
+}
+
+// onSettleResult takes the answer to a Settle.
+func (d *dispatcher) onSettleResult(link peer.Link, result *wire.SettleResult) {
+	d.perform(link, d.locked(func() []execution.Action { return d.pending.OnSettleResult(peerOf(link), result) }))
+}
+
+// onLinkUp settles the attempts that had lost their link to this peer.
+func (d *dispatcher) onLinkUp(link peer.Link) {
+	d.perform(link, d.locked(func() []execution.Action { return d.pending.OnLinkUp(peerOf(link), link.Number()) }))
+}
+
+// onLinkDown reconnects if attempts wait for answers from the peer.
+func (d *dispatcher) onLinkDown(link peer.Link) {
+	d.mu.Lock()
+	waiting := d.pending.OnLinkLost(link.Number())
+	d.mu.Unlock()
+	if waiting > 0 {
+		logging.Event(0, "settle-after-lost-link", "peer", link.Peer().Member, "attempts", waiting)
+		go d.reconnect(peerOf(link))
+	}
+}
+
+// reconnect opens a link to a peer again. LinkUp then settles the attempts. A
+// refused connection proves that the incarnation has ended.
+func (d *dispatcher) reconnect(gone execution.Peer) {
+	for d.waiting() {
+		ctx, cancel := context.WithTimeout(context.Background(), reconnectTimeout)
+		link, err := d.members.link(ctx, gone.Member)
+		cancel()
+		if err == nil {
+			d.onLinkUp(link) // settles what the LinkUp event has not
+			return
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			d.onMemberGone(gone)
+			return
+		}
+		time.Sleep(reconnectDelay)
+	}
+}
+
+func (d *dispatcher) waiting() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pending.Len() > 0
+}
+
+// onMemberGone ends the attempts at an incarnation that is dead.
+func (d *dispatcher) onMemberGone(gone execution.Peer) {
+	d.perform(nil, d.locked(func() []execution.Action { return d.pending.OnPeerGone(gone) }))
+}
+
+// sweep ends the attempts whose time is over until ctx ends.
+func (d *dispatcher) sweep(ctx context.Context) {
+	ticker := time.NewTicker(deadlineSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.perform(nil, d.locked(func() []execution.Action {
+				d.hints.Prune(now)
+				return d.pending.OnDeadline(now)
+			}))
+		}
+	}
+}
+
+// perform carries out the actions of the pending table. link is the link that
+// caused them, or nil. The caller does not hold the lock.
+func (d *dispatcher) perform(link peer.Link, actions []execution.Action) {
+	for _, action := range actions {
+		switch action.Kind {
+		case execution.ActionSettle:
+			_ = link.Send(wire.Settle{ID: action.ID})
+		case execution.ActionResend:
+			if w := d.waiter(action.ID, false); w != nil && w.forward != nil {
+				_ = link.Send(w.forward)
+			}
+		case execution.ActionAck:
+			d.sendAck(link, action)
+		case execution.ActionCancel:
+			d.sendCancel(action)
+		default:
+			d.finish(action)
+		}
+	}
+}
+
+func (d *dispatcher) sendAck(link peer.Link, action execution.Action) {
+	if link == nil {
+		d.local.ack(d.self, action.ID)
+		return
+	}
+	_ = link.Send(wire.AnswerAck{ID: action.ID})
+}
+
+func (d *dispatcher) sendCancel(action execution.Action) {
+	if action.Peer == d.self {
+		d.local.cancel(d.self, action.ID)
+		return
+	}
+	if link, ok := d.hub.Existing(action.Peer.Member); ok {
+		_ = link.Send(wire.Cancel{ID: action.ID})
+	}
+}
+
+// finish hands the end of an attempt to what waits for it.
+func (d *dispatcher) finish(action execution.Action) {
+	w := d.waiter(action.ID, true)
+	if w == nil {
+		return
+	}
+	w.done <- endOf(action)
+}
+
+// waiter returns, and with remove forgets, what waits for an attempt.
+func (d *dispatcher) waiter(id wire.AttemptID, remove bool) *waiter {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.waiters[id]
+	if remove {
+		delete(d.waiters, id)
+	}
+	return w
+}
+
+// endOf translates the final action of an attempt.
+func endOf(action execution.Action) answered {
+	end := answered{answer: action.Answer, reason: action.Reason}
+	if action.Answer != nil {
+		end.credits = action.Answer.Credits
+		if action.Answer.Refusal != nil {
+			end.refusal = problemOf(action.Answer.Refusal)
+		}
+	}
+	switch action.Kind {
+	case execution.ActionDeliver:
+		end.response = action.Answer.Response
+	case execution.ActionNotExecuted:
+		end.proof = proofOf(action)
+		if end.refusal == nil {
+			end.refusal = problem.New(problem.KindNoUpstream, string(action.Reason)).WithRetryAfter(time.Second)
+		}
+	default:
+		if end.refusal == nil {
+			end.refusal = problem.Unknown(problem.KindOutcomeUnknown, string(action.Reason))
+		}
+	}
+	return end
+}
+
+func proofOf(action execution.Action) ticket.Proof {
+	switch {
+	case action.Reason == execution.ReasonNotSent:
+		return ticket.ProofNotSent
+	case action.Answer != nil:
+		return ticket.ProofRefused
+	default:
+		return ticket.ProofFenced
+	}
+}
+
+// problemOf and refusalMessage translate refusals between the packages
+// problem and wire.
+func problemOf(r *wire.Refusal) *problem.Problem {
+	return &problem.Problem{
+		Kind:       problem.Kind(r.Kind),
+		Executed:   problem.Executed(r.Executed),
+		Detail:     r.Detail,
+		RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond,
+	}
+}
+
+func refusalMessage(p *problem.Problem) *wire.Refusal {
+	return &wire.Refusal{
+		Kind:         string(p.Kind),
+		Executed:     string(p.Executed),
+		Detail:       p.Detail,
+		RetryAfterMS: uint32(p.RetryAfter.Milliseconds()),
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/stop.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/request/ticket"
+)
+
+// leaveTime is how long the news that this member has left may take to get out.
+const leaveTime = 1500 * time.Millisecond
+
+// Stop is a planned stop: it cuts no request. ctx bounds it.
+func (d *Daemon) Stop(ctx context.Context) error {
+	logging.Event(0, "stopping", "member", d.self.Member)
+	d.leaving.Store(true)
+	successor, ok := d.successor()
+	if err := d.members.setLeaving(successor.Home); err != nil {
+		logging.Event(0, "record-refused", "error", err.Error())
+	}
+	d.hub.Broadcast(wire.GoAway{Reason: "planned stop"})
+	d.executor.leave()
+	pause(ctx, d.cfg.LameDuck)
+	var errs []error
+	// Shutdown waits for the requests of callers.
+	errs = append(errs, d.servers["caller"].Shutdown(ctx))
+	if ok {
+		errs = append(errs, d.handover.moveTickets(ctx, successor))
+	}
+	errs = append(errs, d.executor.drainRuns(ctx))
+	errs = append(errs, waitFor(ctx, handoverRetryDelay, func() bool { return !d.dispatcher.waiting() }))
+	d.rates.returnAll()
+	d.sayLeft(ctx)
+	errs = append(errs, d.close())
+	logging.Event(0, "stopped", "member", d.self.Member, "error", errorText(errors.Join(errs...)))
+	return errors.Join(errs...)
+}
+
+// sayLeft tells the members and later readers of the log that this one has left.
+func (d *Daemon) sayLeft(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTime)
+	defer cancel()
+	if err := d.members.service.Leave(ctx); err != nil {
+		logging.Event(0, "leave-not-spread", "error", err.Error())
+	}
+	if err := d.announcer.Announce(ctx); err != nil {
+		logging.Event(0, "leave-not-announced", "error", err.Error())
+	}
+}
+
+// successor chooses the member that takes over the tickets: the first alive one
+// after this one by name that is not stopping itself.
+func (d *Daemon) successor() (ticket.Owner, bool) {
+	view := d.members.service.View()
+	var first, next *ticket.Owner
+	for _, member := range view.Members {
+		if member.Name == d.self.Member || member.Leaving {
+			continue
+		}
+		owner := &ticket.Owner{Home: member.Name, Incarnation: member.Incarnation}
+		if first == nil {
+			first = owner
+		}
+		if next == nil && member.Name > d.self.Member {
+			next = owner
+		}
+	}
+	switch {
+	case next != nil:
+		return *next, true
+	case first != nil:
+		return *first, true
+	default:
+		return ticket.Owner{}, false
+	}
+}
+
+// close ends all parts.
+func (d *Daemon) close() error {
+	d.cancel()
+	var errs []error
+	for _, server := range d.servers {
+		errs = append(errs, server.Close())
+	}
+	d.hub.Close()
+	d.wg.Wait()
+	d.pool.Close()
+	d.client.Close()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/process/daemon/tickets.go
@@ -0,0 +1,308 @@
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"net/http"
+	"sync"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/ticket"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// movingPoll is how often a request asks again for a ticket that is being
+// handed over.
+const movingPoll = 20 * time.Millisecond
+
+// tickets is this daemon as a home of tickets. Its lock guards home and ends.
+type tickets struct {
+	self       ticket.Owner
+	members    *members
+	rates      *rates
+	dispatcher *dispatcher
+
+	mu   sync.Mutex
+	home *ticket.Home
+	// ends holds a channel per request in progress, closed at its end.
+	ends map[ticket.Key]chan struct{}
+}
+
+func newTickets(self ticket.Owner, members *members, rates *rates, dispatcher *dispatcher) (*tickets, error) {
+	home, err := ticket.NewHome(self, ticket.DefaultOptions(), crand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	return &tickets{
+		self:       self,
+		members:    members,
+		rates:      rates,
+		dispatcher: dispatcher,
+		home:       home,
+		ends:       make(map[ticket.Key]chan struct{}),
+	}, nil
+}
+
+// issue returns a new ticket for a workspace.
+func (t *tickets) issue(workspace string) (string, *problem.Problem) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	issued, err := t.home.Issue(time.Now(), workspace)
+	if err != nil {
+		return "", problem.New(problem.KindOverloaded, err.Error()).WithRetryAfter(time.Second)
+	}
+	return issued.String(), nil
+}
+
+// addNext adds a ticket for the caller's next request to an answer, so that it
+// needs no extra round trip. None is added if the home is full or leaving.
+func (t *tickets) addNext(header http.Header, workspace string) {
+	if next, refusal := t.issue(workspace); refusal == nil {
+		header.Set(caller.HeaderNextTicket, next)
+	}
+}
+
+// serve answers a caller's request on a non-idempotent route.
+func (t *tickets) serve(ctx context.Context, r *http.Request, q *received) (*wire.Response, *problem.Problem) {
+	text, refusal := caller.IdempotencyKey(r.Header)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if text == "" {
+		return nil, problem.New(problem.KindTicketRequired, "route "+q.route.Name+" is not idempotent")
+	}
+	parsed, err := ticket.Parse(text)
+	if err != nil {
+		return nil, problem.New(problem.KindTicketInvalid, err.Error())
+	}
+	q.request, refusal = caller.ReadRequest(r, q.route.MaxBodyBytes)
+	if refusal != nil {
+		return nil, refusal
+	}
+	end := t.run(ctx, q.call(), parsed, true)
+	return end.response, end.refusal
+}
+
+// run carries out a call with a ticket, here or at the ticket's home. mayForward
+// is false for a request that was forwarded already.
+func (t *tickets) run(ctx context.Context, c *call, parsed ticket.Ticket, mayForward bool) answered {
+	use := ticket.Use{
+		Ticket:      parsed,
+		Workspace:   c.context.Workspace,
+		Fingerprint: ticket.FingerprintOf(&c.request),
+		Deadline:    c.deadline,
+	}
+	for {
+		decision, end := t.begin(use)
+		logging.Event(1, "ticket", "request", c.id, "home", parsed.Owner.Home, "reason", string(decision.Reason))
+		switch decision.Outcome {
+		case ticket.Dispatch:
+			return t.dispatch(ctx, c, decision.Key)
+		case ticket.Replay:
+			return answered{response: decision.Response}
+		case ticket.InProgress, ticket.Moving:
+			if refusal := waitForEnd(ctx, end); refusal != nil {
+				return answered{refusal: refusal}
+			}
+		case ticket.WrongHome:
+			if !mayForward {
+				return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, string(decision.Reason))}
+			}
+			return t.forward(ctx, c, parsed, decision.Home)
+		default:
+			return answered{refusal: decision.Problem()}
+		}
+	}
+}
+
+// begin asks the home about a request. The channel is closed when a request in
+// progress ends.
+func (t *tickets) begin(use ticket.Use) (ticket.Decision, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	decision := t.home.Begin(time.Now(), use)
+	if decision.Outcome == ticket.Dispatch {
+		t.ends[decision.Key] = make(chan struct{})
+	}
+	return decision, t.ends[use.Ticket.Key()]
+}
+
+// waitForEnd waits for the request that uses the ticket now, or a short time if
+// there is no channel to wait for.
+func waitForEnd(ctx context.Context, end <-chan struct{}) *problem.Problem {
+	var poll <-chan time.Time
+	if end == nil {
+		poll = time.After(movingPoll)
+	}
+	select {
+	case <-end:
+	case <-poll:
+	case <-ctx.Done():
+		return problem.Unknown(problem.KindOutcomeUnknown, "the request with this ticket is still running")
+	}
+	return nil
+}
+
+// dispatch runs a request whose ticket is used for the first time. The run goes
+// on if the caller's connection breaks, since the caller may ask again.
+func (t *tickets) dispatch(ctx context.Context, c *call, key ticket.Key) answered {
+	result := make(chan answered, 1)
+	go func() {
+		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+		defer cancel()
+		result <- t.runOnce(runCtx, c, key)
+	}()
+	select {
+	case end := <-result:
+		return end
+	case <-ctx.Done():
+	}
+	// The run has the same deadline, so that its end is near.
+	if ctx.Err() == context.DeadlineExceeded {
+		return <-result
+	}
+	return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, "the caller's connection ended")}
+}
+
+// runOnce charges the rate, runs the request and stores its end at the home.
+func (t *tickets) runOnce(ctx context.Context, c *call, key ticket.Key) answered {
+	guard := &homeGuard{tickets: t, key: key}
+	c.guard = guard
+	if refusal := t.rates.take(ctx, c.id, c.context.Workspace); refusal != nil {
+		t.end(key, func() error { return t.home.Release(key) })
+		return answered{refusal: refusal}
+	}
+	response, refusal := t.dispatcher.run(ctx, c)
+	err := t.end(key, func() error {
+		switch {
+		case response != nil:
+			return t.home.Complete(key, guard.attempt, response)
+		case refusal.Executed == problem.ExecutedNo:
+			return t.home.Release(key)
+		default:
+			return t.home.MarkUnknown(key, guard.attempt, ticket.ReasonNoAnswer)
+		}
+	})
+	if err != nil {
+		return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, err.Error())}
+	}
+	return answered{response: response, refusal: refusal, credits: uint8(c.account.Left())}
+}
+
+// end stores the end of a request and wakes those who wait for it.
+func (t *tickets) end(key ticket.Key, store func() error) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	err := store()
+	if err != nil {
+		logging.Event(0, "ticket-end-refused", "home", key.Owner.Home, "number", key.Number, "error", err.Error())
+	}
+	if end, ok := t.ends[key]; ok {
+		close(end)
+		delete(t.ends, key)
+	}
+	return err
+}
+
+// homeGuard implements attemptGuard by the home's table.
+type homeGuard struct {
+	tickets *tickets
+	key     ticket.Key
+	attempt wire.AttemptID // the last one
+}
+
+func (g *homeGuard) dispatched(id wire.AttemptID, upstream string) error {
+	g.tickets.mu.Lock()
+	defer g.tickets.mu.Unlock()
+	g.attempt = id
+	return g.tickets.home.Dispatched(g.key, id, upstream)
+}
+
+func (g *homeGuard) notExecuted(id wire.AttemptID, proof ticket.Proof) error {
+	g.tickets.mu.Lock()
+	defer g.tickets.mu.Unlock()
+	return g.tickets.home.NotExecuted(g.key, id, proof)
+}
+
+// forward passes a request to the home of its ticket, or to the member that
+// took over the home's table.
+func (t *tickets) forward(ctx context.Context, c *call, parsed ticket.Ticket, home ticket.Owner) answered {
+	member := home.Home
+	if successor := t.members.successorOf(home.Home, home.Incarnation); successor != "" {
+		member = successor
+	}
+	if member == t.self.Home {
+		return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, "the ticket was issued before this daemon restarted")}
+	}
+	message := &wire.Forward{
+		ID:      newAttemptID(),
+		Route:   c.route.Name,
+		Ticket:  parsed.String(),
+		Context: c.context,
+		Request: c.request,
+	}
+	message.Context.RemainingMS = remainingMS(c.deadline)
+	logging.Event(1, "forward", "request", c.id, "home", home.Home, "to", member)
+	return t.dispatcher.forward(ctx, member, message, c.deadline)
+}
+
+// onForward answers a request that another daemon passed on, in a goroutine of
+// its own.
+func (t *tickets) onForward(link peer.Link, message *wire.Forward, current *tablesInForce) {
+	deadline := time.Now().Add(message.Context.Remaining())
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	end := t.runForwarded(ctx, message, current, deadline)
+	answer := &wire.Answer{ID: message.ID, Response: end.response, Credits: end.credits}
+	if end.response == nil {
+		answer.Refusal = refusalMessage(end.refusal)
+	}
+	_ = link.Send(answer)
+}
+
+func (t *tickets) runForwarded(ctx context.Context, message *wire.Forward, current *tablesInForce, deadline time.Time) answered {
+	parsed, err := ticket.Parse(message.Ticket)
+	if err != nil {
+		return answered{refusal: problem.New(problem.KindTicketInvalid, err.Error())}
+	}
+	route, ok := current.Tables.Route(message.Route)
+	if !ok {
+		return answered{refusal: problem.Unknown(problem.KindRouteNotFound, "route "+message.Route+" is not in the tables of the ticket's home")}
+	}
+	workspace, ok := current.Tables.Key(tables.KeyDigest(message.Context.KeyDigest))
+	if !route.Open && (!ok || workspace != message.Context.Workspace) {
+		return answered{refusal: problem.New(problem.KindKeyUnknown, "the key is not in the tables of the ticket's home")}
+	}
+	q := &received{
+		id:       attemptName(message.ID),
+		route:    route,
+		deadline: deadline,
+		context:  message.Context,
+		request:  message.Request,
+	}
+	return t.run(ctx, q.call(), parsed, false)
+}
+
+// sweep forgets what is over. Call it about once a second.
+func (t *tickets) sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, swept := range t.home.Sweep(now) {
+		if end, ok := t.ends[swept.Key]; ok {
+			close(end)
+			delete(t.ends, swept.Key)
+		}
+	}
+}
+
+// inProgress returns the number of requests that this home still runs.
+func (t *tickets) inProgress() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.home.InProgress()
+}
--- a/internal/process/load/arrivals.go
+++ b/internal/process/load/arrivals.go
@@ -11,34 +11,11 @@
 	At        time.Duration // since the start of the run
 	Workspace int
 	Phase     int
-	// Entitled is true if the workspace's rate and burst admit the request
-	// when they are counted exactly, at the intended send time.
-	Entitled bool
-}
-
-// idealBucket is the token bucket that the whole system together is to behave like.
-type idealBucket struct {
-	level, rate, burst float64
-	at                 time.Duration
-}
-
-func (b *idealBucket) take(at time.Duration) bool {
-	b.level = min(b.burst, b.level+(at-b.at).Seconds()*b.rate)
-	b.at = at
-	if b.level < 1 {
-		return false
-	}
-	b.level--
-	return true
 }
 
 // Arrivals returns the Poisson arrivals of a scenario, in the order of time.
 func Arrivals(s *Scenario, seed uint64) []Arrival {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	buckets := make([]idealBucket, len(s.Workspaces))
-	for i, w := range s.Workspaces {
-		buckets[i] = idealBucket{level: float64(w.Burst), rate: w.Rate, burst: float64(w.Burst)}
-	}
 	var arrivals []Arrival
 	var begin time.Duration
 	for index, phase := range s.Phases {
@@ -51,9 +28,7 @@
 				break
 			}
 			w := draw(rng, weights, total.weight)
-			arrivals = append(arrivals, Arrival{
-				Number: len(arrivals), At: at, Workspace: w, Phase: index, Entitled: buckets[w].take(at),
-			})
+			arrivals = append(arrivals, Arrival{Number: len(arrivals), At: at, Workspace: w, Phase: index})
 		}
 		begin = end
 	}
--- /dev/null
+++ b/internal/process/load/command.go
@@ -0,0 +1,161 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"tarragonshore.example/tarragonshore/internal/process/testbed"
+)
+
+// Exit codes of the command.
+const (
+	exitDone  = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+// options are the flags of the command.
+type options struct {
+	scenario string
+	seed     uint64
+	systems  []string
+	bin      string
+	out      string
+}
+
+// Main runs the command and returns its exit code.
+func Main(args []string) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	command := newCommand()
+	command.SetArgs(args)
+	err := command.ExecuteContext(ctx)
+	var scenarioError *ScenarioError
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &scenarioError):
+		return exitUsage
+	default:
+		return exitError
+	}
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "tarragon-load",
+		Short:         "Drives seeded open-loop load and reports goodput, recovery, fairness and wrongful refusals",
+		SilenceUsage:  true,
+		SilenceErrors: false,
+	}
+	root.AddCommand(compareCommand(), driveCommand())
+	return root
+}
+
+func compareCommand() *cobra.Command {
+	var o options
+	command := &cobra.Command{
+		Use:   "compare",
+		Short: "Runs a scenario against several systems that it starts on this machine",
+		Example: `  tarragon-load compare --scenario scenarios/trust.ini --seed 1
+  tarragon-load compare --scenario scenarios/trust.ini --systems tarragonshore --bin ./bin --out ./out`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return compare(command.Context(), o) },
+	}
+	flags := command.Flags()
+	flags.StringVar(&o.scenario, "scenario", "", "scenario file")
+	flags.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	flags.StringSliceVar(&o.systems, "systems", []string{string(SystemNone), string(SystemStatic), string(SystemDaemons)}, "systems to compare")
+	flags.StringVar(&o.bin, "bin", "", "directory of the programs; empty builds them from this module")
+	flags.StringVar(&o.out, "out", "out", "directory for logs, reports and the plot")
+	_ = command.MarkFlagRequired("scenario")
+	return command
+}
+
+// compare runs the systems one after the other and writes their reports.
+func compare(ctx context.Context, o options) error {
+	s, err := LoadScenario(o.scenario)
+	if err != nil {
+		return err
+	}
+	out, err := filepath.Abs(o.out)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return err
+	}
+	if o.bin == "" {
+		o.bin = filepath.Join(out, "bin")
+		if err := testbed.Build(o.bin); err != nil {
+			return err
+		}
+	}
+	var reports []*Report
+	for _, system := range o.systems {
+		report, err := Compare(ctx, s, System(system), o.seed, o.bin, out, progress)
+		if err != nil {
+			return err
+		}
+		report.WriteTable(os.Stdout)
+		reports = append(reports, report)
+	}
+	return writeReports(out, s.Name, reports)
+}
+
+func progress(text string) { fmt.Fprintln(os.Stderr, text) }
+
+func writeReports(out, name string, reports []*Report) error {
+	content, err := json.MarshalIndent(reports, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(out, name+".json"), content, 0o644); err != nil {
+		return err
+	}
+	return WritePlot(filepath.Join(out, name+".png"), reports)
+}
+
+// driveCommand sends load to daemons that run already.
+func driveCommand() *cobra.Command {
+	var o options
+	var addresses, keys []string
+	command := &cobra.Command{
+		Use:     "drive",
+		Short:   "Sends the load of a scenario to daemons that run already",
+		Example: `  tarragon-load drive --scenario scenarios/trust.ini --addresses 127.0.0.1:8080 --keys KEY1,KEY2,...`,
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			s, err := LoadScenario(o.scenario)
+			if err != nil {
+				return err
+			}
+			if len(keys) != len(s.Workspaces) {
+				return fmt.Errorf("--keys lists %d keys; give one per workspace of the scenario, which are %d", len(keys), len(s.Workspaces))
+			}
+			driver := NewDriver(s, Target{Addresses: addresses, Keys: keys}, fmt.Sprintf("%s-%d", s.Name, o.seed))
+			outcomes := driver.Run(command.Context(), Arrivals(s, o.seed), func(index int) { progress("phase=" + s.Phases[index].Name) })
+			report := NewReport(s, "running daemons", o.seed, outcomes)
+			report.WriteTable(os.Stdout)
+			return writeReports(o.out, s.Name, []*Report{report})
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&o.scenario, "scenario", "", "scenario file; its faults are not applied")
+	flags.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	flags.StringVar(&o.out, "out", ".", "directory for the report and the plot")
+	flags.StringSliceVar(&addresses, "addresses", nil, "caller ports of the daemons")
+	flags.StringSliceVar(&keys, "keys", nil, "keys of the workspaces, in the order of the scenario")
+	for _, name := range []string{"scenario", "addresses", "keys"} {
+		_ = command.MarkFlagRequired(name)
+	}
+	return command
+}
--- /dev/null
+++ b/internal/process/load/compare.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/process/standin"
+	"tarragonshore.example/tarragonshore/internal/process/testbed"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// System names what stands between the callers and the backend servers.
+type System string
+
+// The systems that can be compared.
+const (
+	// SystemNone is no control: round robin, three tries per call, long queues.
+	SystemNone System = "none"
+	// SystemStatic is a static concurrency limit: as SystemNone, but a backend
+	// server rejects what exceeds its slots.
+	SystemStatic System = "static-limit"
+	// SystemDaemons is tarragonshore.
+	SystemDaemons System = "tarragonshore"
+)
+
+// Constants of the compared systems.
+const (
+	directTries  = 3
+	longQueue    = 100_000
+	bedGroups    = 8
+	bedAppends   = 300
+	bedRetention = 3600
+	settleTime   = 3 * time.Second
+	routeTimeout = 10 * time.Second
+)
+
+// Compare runs a scenario against a system that it starts on this machine.
+func Compare(ctx context.Context, s *Scenario, system System, seed uint64, bin, dir string, progress func(string)) (*Report, error) {
+	dir = filepath.Join(dir, string(system))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	bed, err := testbed.New(dir, bin, bedSpec(s, system))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = bed.Stop() }()
+	if err := startBed(ctx, bed, s, system); err != nil {
+		return nil, fmt.Errorf("start %s: %w; see the logs in %s", system, err, dir)
+	}
+	driver := NewDriver(s, targetOf(s, bed, system), fmt.Sprintf("%s-%d", s.Name, seed))
+	arrivals := Arrivals(s, seed)
+	progress(fmt.Sprintf("system=%s requests=%d duration=%s", system, len(arrivals), s.Total()))
+	outcomes := driver.Run(ctx, arrivals, func(index int) {
+		progress(fmt.Sprintf("system=%s phase=%s", system, s.Phases[index].Name))
+		if err := applyFaults(ctx, bed, s.Phases[index]); err != nil {
+			progress("faults not applied: " + err.Error())
+		}
+	})
+	report := NewReport(s, string(system), seed, outcomes)
+	servers, err := serverReports(ctx, bed)
+	if err != nil {
+		return nil, err
+	}
+	report.AddServers(driver, outcomes, servers)
+	return report, nil
+}
+
+// bedSpec describes the processes of a scenario.
+func bedSpec(s *Scenario, system System) testbed.Spec {
+	spec := testbed.Spec{
+		Zones: s.Zones, Groups: bedGroups, AppendsPerSecond: bedAppends,
+		RetentionSeconds: bedRetention, Direct: system != SystemDaemons, DirectTries: directTries,
+	}
+	for _, service := range s.Services {
+		queue := longQueue
+		if system == SystemStatic {
+			queue = 0
+		}
+		spec.Services = append(spec.Services, testbed.Service{
+			Pool: service.Name, Upstreams: service.Upstreams, Slots: service.Slots,
+			ServiceMS: service.ServiceMS, QueueLimit: queue, Calls: service.Calls,
+		})
+	}
+	return spec
+}
+
+func startBed(ctx context.Context, bed *testbed.Bed, s *Scenario, system System) error {
+	if system != SystemDaemons {
+		return bed.StartBackends(ctx)
+	}
+	if err := bed.Start(ctx); err != nil {
+		return err
+	}
+	routes, pools := Tables(s)
+	if err := bed.Publish(ctx, routes, pools); err != nil {
+		return err
+	}
+	if err := bed.WaitInForce(ctx); err != nil {
+		return err
+	}
+	time.Sleep(settleTime) // buckets fill and members get to know each other
+	return nil
+}
+
+// Key returns the key of a workspace in runs of this tool.
+func Key(workspace string) string { return "load-key-" + workspace }
+
+// Tables returns the routes and pools of a scenario.
+func Tables(s *Scenario) (routes, pools string) {
+	var r, p strings.Builder
+	for _, service := range s.Services {
+		fmt.Fprintf(&r, "[route %s]\npath = /%s\npool = %s\nidempotent = true\nimportance = 3\ntimeout = %s\n",
+			service.Name, service.Name, service.Name, routeTimeout)
+		fmt.Fprintf(&p, "[pool %s]\nwarm_up = 1s\n", service.Name)
+	}
+	for _, w := range s.Workspaces {
+		fmt.Fprintf(&r, "[key %s]\nworkspace = %s\n", tables.DigestKey(Key(w.Name)), w.Name)
+		fmt.Fprintf(&p, "[workspace %s]\nrate = %g\nburst = %d\n", w.Name, w.Rate, w.Burst)
+	}
+	return r.String(), p.String()
+}
+
+// targetOf returns where the callers send their requests: to all daemons, or
+// without daemons to the backend servers of the entry service.
+func targetOf(s *Scenario, bed *testbed.Bed, system System) Target {
+	var t Target
+	_, path, _ := strings.Cut(s.Target, " /")
+	pool, _, _ := strings.Cut(path, "/")
+	for _, node := range bed.Nodes {
+		switch {
+		case system == SystemDaemons:
+			t.Addresses = append(t.Addresses, node.Caller)
+		case node.Pool == pool:
+			t.Addresses = append(t.Addresses, node.Work)
+		}
+	}
+	for _, w := range s.Workspaces {
+		key := ""
+		if system == SystemDaemons {
+			key = Key(w.Name)
+		}
+		t.Keys = append(t.Keys, key)
+	}
+	return t
+}
+
+// applyFaults puts the faults of a phase in force and ends all others.
+func applyFaults(ctx context.Context, bed *testbed.Bed, phase Phase) error {
+	for _, node := range bed.Nodes {
+		faults := standin.BackendFaults{}
+		if node.Pool == phase.SlowPool {
+			faults.SlowFactor = phase.SlowFactor
+		}
+		if err := node.SetFaults(ctx, faults); err != nil {
+			return err
+		}
+	}
+	if bed.Platform == nil {
+		return nil
+	}
+	faults := standin.PlatformFaults{}
+	if phase.Outage {
+		faults.Outage = standin.OutageRefuse
+	}
+	return bed.SetPlatformFaults(ctx, faults)
+}
+
+func serverReports(ctx context.Context, bed *testbed.Bed) ([]standin.BackendReport, error) {
+	var reports []standin.BackendReport
+	for _, node := range bed.Nodes {
+		report, err := node.Report(ctx)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, report)
+	}
+	return reports, nil
+}
--- a/internal/process/load/driver.go
+++ b/internal/process/load/driver.go
@@ -27,6 +27,9 @@
 	Good     bool // whole, right and within the deadline
 	Crossed  bool // the answer belongs to another request
 	Tries    int
+	// Entitled counts the tries that the workspace's rate admits, and
+	// WronglyRefused those of them that were refused for rate.
+	Entitled, WronglyRefused int
 	// NotExecuted lists the tries that were refused with executed "no".
 	NotExecuted []int
 }
@@ -45,6 +48,7 @@
 	target   Target
 	client   *http.Client
 	next     atomic.Uint64
+	entitled *entitlement
 	runID    string
 }
 
@@ -72,6 +76,7 @@
 func (d *Driver) Run(ctx context.Context, arrivals []Arrival, onPhase func(index int)) []Outcome {
 	outcomes := make([]Outcome, len(arrivals))
 	start := time.Now()
+	d.entitled = newEntitlement(d.scenario.Workspaces, start)
 	var wg sync.WaitGroup
 	phase := -1
 	for i, arrival := range arrivals {
@@ -136,6 +141,10 @@
 	if err != nil {
 		return
 	}
+	entitled := d.entitled.take(outcome.Workspace, time.Now())
+	if entitled {
+		outcome.Entitled++
+	}
 	response, err := d.client.Do(request)
 	if err != nil {
 		return
@@ -148,6 +157,9 @@
 	outcome.Status = response.StatusCode
 	if response.StatusCode != http.StatusOK {
 		noteRefusal(outcome, response.Header, body)
+		if entitled && (outcome.Kind == problem.KindRateExceeded || outcome.Kind == problem.KindRateUnavailable) {
+			outcome.WronglyRefused++
+		}
 		return
 	}
 	var reply standin.Reply
--- a/internal/process/load/report.go
+++ b/internal/process/load/report.go
@@ -11,7 +11,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"tarragonshore.example/tarragonshore/internal/process/standin"
-	"tarragonshore.example/tarragonshore/internal/request/problem"
 )
 
 // Constants of the measures.
@@ -40,8 +39,8 @@
 	// share of the phase's goodput, and Worst the workspace's name.
 	WorstShare float64 `json:"worst_share"`
 	Worst      string  `json:"worst"`
-	// Entitled counts requests inside their workspace's rate, and
-	// WronglyRefused those of them that were refused for rate.
+	// Entitled counts tries inside their workspace's rate, and WronglyRefused
+	// those of them that were refused for rate.
 	Entitled       int `json:"entitled"`
 	WronglyRefused int `json:"wrongly_refused"`
 	// RecoverySeconds is the time from the begin of the phase until the
@@ -137,12 +136,10 @@
 			good[o.Workspace]++
 			_ = latency.RecordValue(min(o.Latency, maxLatency).Microseconds())
 		}
-		if o.Entitled {
-			r.Entitled++
+		r.Entitled += o.Entitled
+		r.WronglyRefused += o.WronglyRefused
+		if o.Entitled > 0 {
 			demand[o.Workspace]++
-			if o.Kind == problem.KindRateExceeded || o.Kind == problem.KindRateUnavailable {
-				r.WronglyRefused++
-			}
 		}
 	}
 	r.Goodput = float64(r.Good) / r.Seconds
--- a/internal/process/testbed/bed.go
+++ b/internal/process/testbed/bed.go
@@ -43,6 +43,10 @@
 	LogLevel int
 	// ExtraSettings is added to each daemon's settings file.
 	ExtraSettings string
+	// Direct lets the backend servers call each other without daemons, with
+	// DirectTries tries per call.
+	Direct      bool
+	DirectTries int
 }
 
 // Node is one host: a daemon and its backend server.
@@ -116,6 +120,8 @@
 cold_start = {{.Cold}}ms
 calls = {{.Calls}}
 seed = {{.Seed}}
+direct = {{.Direct}}
+direct_tries = {{.DirectTries}}
 `
 
 // portsPerNode counts caller, server, peer, admin and the backend server's port.
@@ -139,10 +145,14 @@
 		return nil, err
 	}
 	ports = ports[1:]
+	direct := ""
+	if spec.Direct {
+		direct = directAddresses(spec, ports)
+	}
 	for _, service := range spec.Services {
 		for i := range service.Upstreams {
 			zone := fmt.Sprintf("zone-%d", (len(bed.Nodes))%spec.Zones+1)
-			node, err := bed.newNode(spec, service, i, zone, ports[:portsPerNode])
+			node, err := bed.newNode(spec, service, i, zone, direct, ports[:portsPerNode])
 			if err != nil {
 				return nil, err
 			}
@@ -153,10 +163,22 @@
 	return bed, nil
 }
 
+// directAddresses lists the backend servers as POOL=ADDRESS, one per upstream.
+func directAddresses(spec Spec, ports []int) string {
+	var list []string
+	for _, service := range spec.Services {
+		for range service.Upstreams {
+			list = append(list, service.Pool+"="+address(ports[portsPerNode-1]))
+			ports = ports[portsPerNode:]
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // newNode writes the settings of one host.
-func (b *Bed) newNode(spec Spec, service Service, index int, zone string, ports []int) (*Node, error) {
+func (b *Bed) newNode(spec Spec, service Service, index int, zone, direct string, ports []int) (*Node, error) {
 	name := fmt.Sprintf("%s-%d", service.Pool, index+1)
 	node := &Node{
 		Name: name, Zone: zone, Pool: service.Pool, bed: b,
@@ -178,6 +200,7 @@
 		"Slots": service.Slots[index%len(service.Slots)], "Service": fmt.Sprintf("%gms", service.ServiceMS),
 		"Constant": service.Constant, "Queue": service.QueueLimit, "Cold": service.ColdStartMS,
 		"Calls": strings.Join(service.Calls, ", "), "Seed": index + 1,
+		"Direct": direct, "DirectTries": spec.DirectTries,
 	})
 	return node, err
 }
@@ -213,6 +236,21 @@
 	return nil
 }
 
+// StartBackends runs only the backend servers, for a bed without daemons.
+func (b *Bed) StartBackends(ctx context.Context) error {
+	for _, node := range b.Nodes {
+		if err := node.StartBackend(); err != nil {
+			return err
+		}
+	}
+	for _, node := range b.Nodes {
+		if err := WaitReady(ctx, "http://"+node.Work+"/control/health"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // StartPlatform runs the platform's stand-in, whose log starts empty.
 func (b *Bed) StartPlatform(ctx context.Context) error {
 	var err error
--- /dev/null
+++ b/internal/process/testbed/publish.go
@@ -0,0 +1,30 @@
+package testbed
+
+import (
+	"context"
+	"crypto/rand"
+
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+	"tarragonshore.example/tarragonshore/internal/version/history"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// Publish appends the first edit of an empty log. It does not read it back;
+// WaitInForce shows that the daemons have it.
+func (b *Bed) Publish(ctx context.Context, routes, pools string) error {
+	next, err := tables.Parse([]byte(routes), []byte(pools))
+	if err != nil {
+		return err
+	}
+	id, err := history.NewEditID(rand.Reader)
+	if err != nil {
+		return err
+	}
+	edit := history.Edit{Changes: tables.Diff(tables.Empty(), next), ID: id, Result: next.Digest(), Author: "testbed"}
+	record, err := edit.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = platform.NewClient(b.PlatformAddr).Append(ctx, platform.StreamTables, record)
+	return err
+}
--- a/internal/request/execution/pending.go
+++ b/internal/request/execution/pending.go
@@ -202,10 +202,7 @@
 		if now.Before(w.Deadline) {
 			continue
 		}
-		actions = p.end(actions, w, ActionUnknown, ReasonDeadline)
-		if !w.Forward {
-			actions = append(actions, Action{Kind: ActionCancel, ID: w.ID, Peer: w.Peer, Reason: ReasonDeadline})
-		}
+		actions = append(actions, p.Cancel(w.ID, ReasonDeadline)...)
 	}
 	return actions
 }
