Publish whose tickets a member serves after a hand-over

Cause: a daemon that restarts under its name after handing its tickets over hid the successor: others found only the new incarnation, and an unused ticket of the old one ended with outcome unknown. Change: the member record lists up to 8 ended incarnations whose tickets the member serves; the successor of a planned stop is random.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -301,7 +301,7 @@
 	for pause(ctx, tickInterval) {
 		now := time.Now()
 		d.server.check(now)
-		d.tickets.sweep(now)
+		d.members.setOrigins(d.tickets.sweep(now))
 	}
 }
 
@@ -314,9 +314,7 @@
 // onServer applies a new state of the own backend server.
 func (d *Daemon) onServer(state serverSnapshot) {
 	d.executor.applyServer(state)
-	if err := d.members.setServer(state); err != nil {
-		logging.Event(0, "record-refused", "error", err.Error())
-	}
+	d.members.setServer(state)
 	d.noteView()
 }
 
--- a/internal/process/daemon/members.go
+++ b/internal/process/daemon/members.go
@@ -1,14 +1,19 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/membership"
 	"tarragonshore.example/tarragonshore/internal/process/membership/transport"
 	"tarragonshore.example/tarragonshore/internal/request/routing"
+	"tarragonshore.example/tarragonshore/internal/request/ticket"
 )
 
 // errNoMember means that the member is not among the alive ones.
@@ -19,6 +24,8 @@
 	self    string
 	service *transport.Service
 	hub     *peer.Hub
+
+	mu sync.Mutex // serializes changes of the own record
 }
 
 // link returns a link to a member.
@@ -36,6 +43,12 @@
 // successorOf returns the member that took over the tickets of an incarnation
 // that has left, or "".
 func (m *members) successorOf(name string, incarnation uint64) string {
+	origin := membership.Origin{Name: name, Incarnation: incarnation}
+	for _, member := range m.service.View().Members {
+		if slices.Contains(member.Origins, origin) {
+			return member.Name
+		}
+	}
 	member := m.service.Lookup(name)
 	if member == nil || member.Incarnation != incarnation || !member.Leaving {
 		return ""
@@ -43,26 +56,52 @@
 	return member.Successor
 }
 
-// setServer publishes the state of the own backend server.
-func (m *members) setServer(s serverSnapshot) error {
+// change changes the own record.
+func (m *members) change(apply func(*membership.Detail)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	detail := m.service.Self().Detail
-	detail.Servers = []membership.Server{{
-		Name:       s.name,
-		Pool:       s.pool,
-		Slots:      uint32(s.slots),
-		State:      s.state,
-		ReadySince: s.readySince,
-	}}
-	return m.service.SetSelf(detail)
+	apply(&detail)
+	if err := m.service.SetSelf(detail); err != nil {
+		logging.Event(0, "record-refused", "error", err.Error())
+	}
 }
 
-// setLeaving publishes that a planned stop has begun, with the successor of the
-// tickets as soon as it is known.
-func (m *members) setLeaving(successor string) error {
-	detail := m.service.Self().Detail
-	detail.Leaving = true
-	detail.Successor = successor
-	return m.service.SetSelf(detail)
+// setServer publishes the state of the own backend server.
+func (m *members) setServer(s serverSnapshot) {
+	m.change(func(d *membership.Detail) {
+		d.Servers = []membership.Server{{
+			Name:       s.name,
+			Pool:       s.pool,
+			Slots:      uint32(s.slots),
+			State:      s.state,
+			ReadySince: s.readySince,
+		}}
+	})
+}
+
+// setLeaving publishes that a planned stop has begun, and the successor of the
+// tickets.
+func (m *members) setLeaving(successor string) {
+	m.change(func(d *membership.Detail) {
+		d.Leaving = true
+		d.Successor = successor
+	})
+}
+
+// setOrigins publishes whose tickets this daemon serves besides its own. Those
+// beyond the limit cannot be found by others, so that their outcome is unknown.
+func (m *members) setOrigins(owners []ticket.Owner) {
+	origins := make([]membership.Origin, 0, len(owners))
+	for _, owner := range owners {
+		origins = append(origins, membership.Origin{Name: owner.Home, Incarnation: owner.Incarnation})
+	}
+	slices.SortFunc(origins, func(a, b membership.Origin) int { return cmp.Compare(b.Incarnation, a.Incarnation) })
+	origins = origins[:min(len(origins), membership.MaxOrigins)]
+	if slices.Equal(origins, m.service.Self().Origins) {
+		return
+	}
+	m.change(func(d *membership.Detail) { d.Origins = origins })
 }
 
 // upstreamsOf returns the backend servers of a pool and the member beside each.
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/membership"
 	"tarragonshore.example/tarragonshore/internal/request/ticket"
 )
 
@@ -18,9 +20,7 @@
 	logging.Event(0, "stopping", "member", d.self.Member)
 	d.leaving.Store(true)
 	successor, ok := d.successor()
-	if err := d.members.setLeaving(successor.Home); err != nil {
-		logging.Event(0, "record-refused", "error", err.Error())
-	}
+	d.members.setLeaving(successor.Home)
 	d.hub.Broadcast(wire.GoAway{Reason: "planned stop"})
 	d.executor.leave()
 	pause(ctx, d.cfg.LameDuck)
@@ -51,31 +51,20 @@
 	}
 }
 
-// successor chooses the member that takes over the tickets: the first alive one
-// after this one by name that is not stopping itself.
+// successor chooses the member that takes over the tickets: a random alive one
+// that is not stopping itself, so that rolling restarts do not pile the tables
+// of many daemons up at one.
 func (d *Daemon) successor() (ticket.Owner, bool) {
-	view := d.members.service.View()
-	var first, next *ticket.Owner
-	for _, member := range view.Members {
-		if member.Name == d.self.Member || member.Leaving {
-			continue
-		}
-		owner := &ticket.Owner{Home: member.Name, Incarnation: member.Incarnation}
-		if first == nil {
-			first = owner
-		}
-		if next == nil && member.Name > d.self.Member {
-			next = owner
+	var candidates []ticket.Owner
+	for _, member := range d.members.service.View().Members {
+		if member.Name != d.self.Member && !member.Leaving && member.State == membership.StateAlive {
+			candidates = append(candidates, ticket.Owner{Home: member.Name, Incarnation: member.Incarnation})
 		}
 	}
-	switch {
-	case next != nil:
-		return *next, true
-	case first != nil:
-		return *first, true
-	default:
+	if len(candidates) == 0 {
 		return ticket.Owner{}, false
 	}
+	return candidates[rand.IntN(len(candidates))], true
 }
 
 // close ends all parts.
--- a/internal/process/daemon/tickets.go
+++ b/internal/process/daemon/tickets.go
@@ -288,8 +288,9 @@
 	return t.run(ctx, q.call(), parsed, false)
 }
 
-// sweep forgets what is over. Call it about once a second.
-func (t *tickets) sweep(now time.Time) {
+// sweep forgets what is over and returns the ended incarnations whose tickets
+// are served here. Call it about once a second.
+func (t *tickets) sweep(now time.Time) []ticket.Owner {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, swept := range t.home.Sweep(now) {
@@ -298,6 +299,7 @@
 			delete(t.ends, swept.Key)
 		}
 	}
+	return t.home.Origins()
 }
 
 // inProgress returns the number of requests that this home still runs.
--- a/internal/process/membership/codec.go
+++ b/internal/process/membership/codec.go
@@ -84,6 +84,14 @@
 	Servers   []wireServer
 	Leaving   bool
 	Successor string
+	Origins   []wireOrigin
+}
+
+// wireOrigin is an Origin.
+type wireOrigin struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Incarnation uint64
 }
 
 type wireServer struct {
@@ -225,6 +233,9 @@
 	}
 	if detail || u.Fixed != nil {
 		u.Detail = &wireDetail{Leaving: m.Leaving, Successor: m.Successor, Servers: make([]wireServer, len(m.Servers))}
+		for _, origin := range m.Origins {
+			u.Detail.Origins = append(u.Detail.Origins, wireOrigin{Name: origin.Name, Incarnation: origin.Incarnation})
+		}
 		for i, s := range m.Servers {
 			u.Detail.Servers[i] = wireServer{Name: s.Name, Pool: s.Pool, Slots: s.Slots, State: s.State}
 			if !s.ReadySince.IsZero() {
@@ -250,6 +261,9 @@
 
 func (d *wireDetail) detail(now time.Time) Detail {
 	out := Detail{Leaving: d.Leaving, Successor: d.Successor}
+	for _, origin := range d.Origins {
+		out.Origins = append(out.Origins, Origin{Name: origin.Name, Incarnation: origin.Incarnation})
+	}
 	if len(d.Servers) > 0 {
 		out.Servers = make([]Server, len(d.Servers))
 	}
--- a/internal/process/membership/record.go
+++ b/internal/process/membership/record.go
@@ -105,11 +105,22 @@
 	Leaving bool
 	// Successor names the member that takes over the tickets at a planned stop.
 	Successor string
+	// Origins are the ended incarnations whose tickets this member serves.
+	Origins []Origin
+}
+
+// MaxOrigins bounds Detail.Origins, so that a record fits into a datagram.
+const MaxOrigins = 8
+
+// Origin is an ended incarnation of a member.
+type Origin struct {
+	Name        string
+	Incarnation uint64
 }
 
 // equal compares two details; when a server became ready is no change of its own.
 func (d Detail) equal(o Detail) bool {
-	return d.Leaving == o.Leaving && d.Successor == o.Successor &&
+	return d.Leaving == o.Leaving && d.Successor == o.Successor && slices.Equal(d.Origins, o.Origins) &&
 		slices.EqualFunc(d.Servers, o.Servers, func(a, b Server) bool {
 			return a.Name == b.Name && a.Pool == b.Pool && a.Slots == b.Slots && a.State == b.State
 		})
