--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -14,6 +14,8 @@
 	"gopkg.in/ini.v1"
 	"k8s.io/klog/v2"
 
+	"tarragonshore.example/tarragonshore/internal/connection/backend"
+	"tarragonshore.example/tarragonshore/internal/connection/network"
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/process/daemon"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
@@ -35,7 +37,7 @@
 		Name: f.Section("daemon").Key("name").String(), Zone: f.Section("daemon").Key("zone").String(),
 		Caller: l("caller"), Server: l("server"), Peer: l("peer"), Admin: l("admin"),
 		PollWait: time.Second, Retention: f.Section("platform").Key("retention").MustDuration(time.Hour),
-		Heartbeat: time.Second, Connections: 256, MaxBody: 4 << 20, Workers: 4,
+		Heartbeat: time.Second, Workers: 4,
 		RateGroups: uint32(f.Section("rates").Key("groups").MustUint(8)), LameDuck: 2 * time.Second,
 		StopTimeout: 30 * time.Second, Link: peer.DefaultConfig,
 	}
@@ -43,7 +45,7 @@
 	if err != nil {
 		panic(err)
 	}
-	d := daemon.New(cfg, platform.NewClient(f.Section("platform").Key("address").String()), m)
+	d := daemon.New(cfg, daemon.Surroundings{Network: network.System{}, Log: platform.NewClient(f.Section("platform").Key("address").String()), Server: backend.NewClient(256, 4<<20), Metrics: m})
 	if err := d.Start(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/connection/network/network.go
@@ -0,0 +1,39 @@
+// Package network is the daemon's access to TCP and UDP, so that tests can put
+// an in-memory network in its place.
+package network
+
+import (
+	"context"
+	"net"
+	"net/netip"
+)
+
+// Network opens sockets of one host.
+type Network interface {
+	// Listen accepts TCP connections at an address of this host.
+	Listen(address netip.AddrPort) (net.Listener, error)
+	// ListenPacket opens a UDP socket at an address of this host.
+	ListenPacket(address netip.AddrPort) (net.PacketConn, error)
+	// Dial connects to a TCP address "IP:port". The error wraps
+	// syscall.ECONNREFUSED if nothing listens there.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// System is the operating system's network.
+type System struct{}
+
+// Listen implements Network.
+func (System) Listen(address netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", address.String())
+}
+
+// ListenPacket implements Network.
+func (System) ListenPacket(address netip.AddrPort) (net.PacketConn, error) {
+	return net.ListenPacket("udp", address.String())
+}
+
+// Dial implements Network.
+func (System) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -10,12 +10,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/coder/websocket"
 
+	"tarragonshore.example/tarragonshore/internal/connection/network"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 )
 
@@ -60,6 +62,8 @@
 	Silence time.Duration
 	// DialTimeout bounds the connection set-up with both Hellos.
 	DialTimeout time.Duration
+	// Dial opens TCP connections; nil means the operating system's network.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // DefaultConfig replaces a silent link within 3 s: 2.5 s of silence, then a new dial.
@@ -82,6 +86,7 @@
 	self    Identity
 	cfg     Config
 	handler Handler
+	client  *http.Client
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
@@ -104,10 +109,14 @@
 // NewHub returns a hub without links.
 func NewHub(self Identity, cfg Config, handler Handler) *Hub {
 	ctx, cancel := context.WithCancel(context.Background())
+	if cfg.Dial == nil {
+		cfg.Dial = network.System{}.Dial
+	}
 	return &Hub{
 		self:    self,
 		cfg:     cfg,
 		handler: handler,
+		client:  newClient(cfg),
 		ctx:     ctx,
 		cancel:  cancel,
 		links:   make(map[string]*link),
@@ -116,6 +125,13 @@
 	}
 }
 
+// newClient returns the HTTP client for the WebSocket handshakes. Connections
+// are never shared, since each becomes a link.
+func newClient(cfg Config) *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return cfg.Dial(ctx, address) }
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+}
+
 // Existing returns the current link to a member, if there is one.
 func (h *Hub) Existing(member string) (Link, bool) {
 	h.mu.Lock()
@@ -229,6 +245,7 @@
 	defer cancel()
 	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled,
+		HTTPClient:      h.client,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("dial %s at %s: %w", member, address, err)
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -23,7 +23,9 @@
 	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.HandleFunc("/readyz", a.serveReady)
 	router.HandleFunc("/status", a.serveStatus).Methods(http.MethodGet)
-	router.Handle("/metrics", a.metrics.Handler())
+	if a.metrics != nil {
+		router.Handle("/metrics", a.metrics.Handler())
+	}
 	return router
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -21,6 +21,7 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
 	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/connection/network"
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/membership"
@@ -55,12 +56,9 @@
 	// Retention is how long the platform keeps records.
 	Retention time.Duration
 	// Heartbeat is how often the backend server announces itself.
-	Heartbeat time.Duration
-	// Connections is the number of idle connections kept to the backend server.
-	Connections int
-	MaxBody     int64
-	Workers     int
-	RateGroups  uint32
+	Heartbeat  time.Duration
+	Workers    int
+	RateGroups uint32
 	// LameDuck is how long a stopping daemon still accepts callers' requests,
 	// so that callers learn of the stop by their answers.
 	LameDuck time.Duration
@@ -73,7 +71,9 @@
 type Daemon struct {
 	cfg     Config
 	self    execution.Peer
+	network network.Network
 	log     platform.Log
+	client  backend.Server
 	metrics *metrics.Metrics
 	leaving atomic.Bool
 
@@ -84,7 +84,6 @@
 	pool          *workers.Pool
 	configuration *configuration
 	server        *serverState
-	client        *backend.Client
 	dispatcher    *dispatcher
 	executor      *executor
 	rates         *rates
@@ -99,12 +98,23 @@
 	wg          sync.WaitGroup
 }
 
-// New returns a daemon that has not started. m may be nil.
-func New(cfg Config, log platform.Log, m *metrics.Metrics) *Daemon {
+// Surroundings are the interfaces by which a daemon reaches what is outside.
+type Surroundings struct {
+	Network network.Network
+	Log     platform.Log
+	Server  backend.Server
+	Metrics *metrics.Metrics // nil: nothing is recorded
+}
+
+// New returns a daemon that has not started.
+func New(cfg Config, outside Surroundings) *Daemon {
+	cfg.Link.Dial = outside.Network.Dial
 	return &Daemon{
 		cfg:         cfg,
-		log:         log,
-		metrics:     m,
+		network:     outside.Network,
+		log:         outside.Log,
+		client:      outside.Server,
+		metrics:     outside.Metrics,
 		viewChanged: make(chan struct{}, 1),
 		listeners:   make(map[string]net.Listener),
 		servers:     make(map[string]*http.Server),
@@ -133,7 +143,7 @@
 	for name, address := range map[string]netip.AddrPort{
 		"caller": d.cfg.Caller, "server": d.cfg.Server, "peer": d.cfg.Peer, "admin": d.cfg.Admin,
 	} {
-		listener, err := net.Listen("tcp", address.String())
+		listener, err := d.network.Listen(address)
 		if err != nil {
 			return fmt.Errorf("open %s port: %w; choose a free port in section [listen]", name, err)
 		}
@@ -171,7 +181,6 @@
 	holder := ratelimit.HolderID{Member: d.self.Member, Incarnation: d.self.Incarnation}
 	d.configuration = newConfiguration(d.log, d.members, d.cfg.PollWait, d.cfg.Retention, newRand())
 	d.server = newServerState(d.cfg.Heartbeat)
-	d.client = backend.NewClient(d.cfg.Connections, d.cfg.MaxBody)
 	d.dispatcher = newDispatcher(d.self, d.cfg.Zone, d.members, d.metrics, newRand())
 	d.executor = newExecutor(d.self, d.configuration, d.server, d.client, d.metrics)
 	d.groups = newGroups(holder, d.members, d.cfg.RateGroups)
@@ -215,7 +224,7 @@
 }
 
 func (d *Daemon) newMembership() (*transport.Service, error) {
-	conn, err := net.ListenPacket("udp", d.cfg.Peer.String())
+	conn, err := d.network.ListenPacket(d.cfg.Peer)
 	if err != nil {
 		return nil, fmt.Errorf("open UDP port of the peer address: %w; choose a free port in section [listen]", err)
 	}
--- /dev/null
+++ b/internal/process/daemon/fake_platform_test.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/backend"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+)
+
+// fakeLog is an in-memory platform.Log with settable faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[platform.Stream][]platform.Record
+	first   map[platform.Stream]platform.Offset
+	changed chan struct{}
+	// outage makes every call fail; loseAnswers makes appends take effect and fail.
+	outage      bool
+	loseAnswers bool
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{
+		streams: make(map[platform.Stream][]platform.Record),
+		first:   make(map[platform.Stream]platform.Offset),
+		changed: make(chan struct{}),
+	}
+}
+
+func (l *fakeLog) setOutage(outage bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outage = outage
+	l.signal()
+}
+
+func (l *fakeLog) setLoseAnswers(lose bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseAnswers = lose
+}
+
+// expire drops all records of a stream, as the end of their retention does.
+func (l *fakeLog) expire(stream platform.Stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first[stream] += platform.Offset(len(l.streams[stream]))
+	l.streams[stream] = nil
+}
+
+func (l *fakeLog) signal() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *fakeLog) Append(_ context.Context, stream platform.Stream, data []byte) (platform.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outage {
+		return 0, fmt.Errorf("%w: outage", platform.ErrRejected)
+	}
+	offset := l.first[stream] + platform.Offset(len(l.streams[stream]))
+	l.streams[stream] = append(l.streams[stream], platform.Record{Offset: offset, Data: data})
+	l.signal()
+	if l.loseAnswers {
+		return 0, fmt.Errorf("%w: lost", platform.ErrUnknown)
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, stream platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	end := time.After(wait)
+	for {
+		l.mu.Lock()
+		if l.outage {
+			l.mu.Unlock()
+			return platform.Batch{}, fmt.Errorf("%w: outage", platform.ErrRejected)
+		}
+		first := l.first[stream]
+		batch := platform.Batch{First: first, Next: first + platform.Offset(len(l.streams[stream]))}
+		if begin := max(from, first); begin < batch.Next {
+			records := l.streams[stream][begin-first:]
+			batch.Records = append(batch.Records, records[:min(limit, len(records))]...)
+		}
+		changed := l.changed
+		l.mu.Unlock()
+		if len(batch.Records) > 0 || wait == 0 {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		}
+	}
+}
+
+// fakeServer is a backend server behind a daemon. It counts the runs of each
+// request by its body.
+type fakeServer struct {
+	name    string
+	service time.Duration
+	// work, if set, is called during each run, for calls to other services.
+	work func(ctx context.Context, call backend.Call) (*wire.Response, error)
+
+	mu      sync.Mutex
+	runs    map[string]int
+	running int
+	most    int // the greatest number of requests at once
+}
+
+func newFakeServer(name string, service time.Duration) *fakeServer {
+	return &fakeServer{name: name, service: service, runs: make(map[string]int)}
+}
+
+func (s *fakeServer) Do(ctx context.Context, _ string, call backend.Call) (*wire.Response, error) {
+	s.mu.Lock()
+	s.runs[string(call.Request.Body)]++
+	s.running++
+	s.most = max(s.most, s.running)
+	service := s.service
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}()
+	if !pause(ctx, service) {
+		return nil, &backend.Error{Err: ctx.Err()}
+	}
+	if s.work != nil {
+		return s.work(ctx, call)
+	}
+	body := s.name + " " + call.Workspace + " " + string(call.Request.Body)
+	return &wire.Response{Status: 200, Body: []byte(body)}, nil
+}
+
+// count returns the number of runs of a request.
+func (s *fakeServer) count(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[body]
+}
+
+func (s *fakeServer) setService(service time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service = service
+}
--- /dev/null
+++ b/internal/process/daemon/fleet_test.go
@@ -0,0 +1,294 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/backend"
+	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/version/history"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// Ports of each fake host.
+const (
+	callerPort       = 1000
+	serverPortNumber = 1001
+	peerPort         = 1002
+	adminPort        = 1003
+)
+
+const testKey = "test-key"
+
+// fleet is a set of daemons on a fake network with a fake log.
+type fleet struct {
+	t     *testing.T
+	net   *fakeNetwork
+	log   *fakeLog
+	hosts []*host
+	// routes and pools are the tables that publish started from.
+	tables  *tables.Tables
+	version tables.Version
+	beats   context.CancelFunc
+	client  *http.Client
+}
+
+// host is one daemon with its fake backend server.
+type host struct {
+	fleet   *fleet
+	name    string
+	pool    string
+	address netip.Addr
+	server  *fakeServer
+	slots   int
+	state   backend.State
+	daemon  *Daemon
+}
+
+// outside is where the callers of tests are.
+var outside = netip.MustParseAddr("127.0.1.1")
+
+// inFleet runs a test in virtual time with one daemon per named pool entry.
+func inFleet(t *testing.T, pools []string, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, pools)
+		defer f.close()
+		test(f)
+	})
+}
+
+// newFleet starts the daemons and publishes tables with a route per pool
+// (/POOL, idempotent) and a non-idempotent one (/POOL-order).
+func newFleet(t *testing.T, pools []string) *fleet {
+	f := &fleet{t: t, net: newFakeNetwork(500 * time.Microsecond), log: newFakeLog(), tables: tables.Empty()}
+	f.client = f.newClient()
+	for i, pool := range pools {
+		h := &host{
+			fleet: f, name: fmt.Sprintf("%s-%d", pool, i+1), pool: pool, slots: 10, state: backend.StateReady,
+			address: netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}),
+		}
+		h.server = newFakeServer(h.name, 10*time.Millisecond)
+		f.hosts = append(f.hosts, h)
+		h.start()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.beats = cancel
+	go f.heartbeats(ctx)
+	f.publish(f.testTables(pools, 1000, 1000))
+	f.waitUntil("version in force everywhere", 10*time.Second, func(h *host) bool {
+		return h.daemon.configuration.current().Version == f.version && h.daemon.members.service.View().Alive == len(f.hosts)
+	})
+	time.Sleep(5 * time.Second) // buckets fill, upstreams warm up
+	return f
+}
+
+// testTables returns routes and pools with one workspace of the given rate.
+func (f *fleet) testTables(pools []string, rate, burst int) *tables.Tables {
+	var r, p strings.Builder
+	seen := map[string]bool{}
+	for _, pool := range pools {
+		if seen[pool] {
+			continue
+		}
+		seen[pool] = true
+		fmt.Fprintf(&r, "[route %s]\npath = /%s\npool = %s\nidempotent = true\nimportance = 3\ntimeout = 5s\n", pool, pool, pool)
+		fmt.Fprintf(&r, "[route %s-order]\npath = /%s-order\npool = %s\nidempotent = false\nimportance = 1\ntimeout = 5s\n", pool, pool, pool)
+		fmt.Fprintf(&p, "[pool %s]\nwarm_up = 1s\n", pool)
+	}
+	fmt.Fprintf(&r, "[key %s]\nworkspace = fair\n", tables.DigestKey(testKey))
+	fmt.Fprintf(&p, "[workspace fair]\nrate = %d\nburst = %d\n", rate, burst)
+	next, err := tables.Parse([]byte(r.String()), []byte(p.String()))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return next
+}
+
+// publish appends an edit from the tables published last to the given ones.
+func (f *fleet) publish(next *tables.Tables) {
+	id, err := history.NewEditID(rand.Reader)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	edit := history.Edit{Base: f.version, Changes: tables.Diff(f.tables, next), ID: id, Result: next.Digest()}
+	record, err := edit.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := f.log.Append(context.Background(), platform.StreamTables, record); err != nil {
+		f.t.Fatal(err)
+	}
+	f.tables, f.version = next, f.version+1
+}
+
+// start runs a daemon on the host.
+func (h *host) start() {
+	link := peer.DefaultConfig
+	h.daemon = New(Config{
+		Name: h.name, Zone: fmt.Sprintf("zone-%d", h.address.As4()[3]%2),
+		Caller: netip.AddrPortFrom(h.address, callerPort), Server: netip.AddrPortFrom(h.address, serverPortNumber),
+		Peer: netip.AddrPortFrom(h.address, peerPort), Admin: netip.AddrPortFrom(h.address, adminPort),
+		PollWait: time.Second, Retention: time.Hour, Heartbeat: time.Second, Workers: 2, RateGroups: 4,
+		LameDuck: 2 * time.Second, StopTimeout: 30 * time.Second, Link: link,
+	}, Surroundings{Network: h.fleet.net.host(h.address), Log: h.fleet.log, Server: h.server})
+	if err := h.daemon.Start(context.Background()); err != nil {
+		h.fleet.t.Fatal(err)
+	}
+	h.announce()
+}
+
+// announce announces the backend server.
+func (h *host) announce() {
+	if h.daemon == nil {
+		return
+	}
+	_ = h.daemon.server.announced(time.Now(), backend.Announcement{
+		Name: h.name, Pool: h.pool, Address: "127.0.0.1:1", Slots: h.slots, State: h.state,
+	})
+}
+
+// kill ends the daemon without a graceful stop.
+func (h *host) kill() {
+	daemon := h.daemon
+	h.daemon = nil
+	_ = daemon.close()
+}
+
+// stop ends the daemon gracefully.
+func (h *host) stop() error {
+	daemon := h.daemon
+	h.daemon = nil
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	return daemon.Stop(ctx)
+}
+
+func (f *fleet) heartbeats(ctx context.Context) {
+	for pause(ctx, time.Second) {
+		for _, h := range f.hosts {
+			h.announce()
+		}
+	}
+}
+
+func (f *fleet) close() {
+	f.beats()
+	f.client.CloseIdleConnections()
+	for _, h := range f.hosts {
+		if h.daemon != nil {
+			h.kill()
+		}
+	}
+	time.Sleep(time.Minute) // lets timers and connections end
+}
+
+// waitUntil waits until a condition holds on every running host.
+func (f *fleet) waitUntil(what string, limit time.Duration, condition func(h *host) bool) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := waitFor(ctx, 10*time.Millisecond, func() bool {
+		for _, h := range f.hosts {
+			if h.daemon != nil && !condition(h) {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		f.t.Fatalf("not within %s: %s", limit, what)
+	}
+}
+
+// newClient returns an HTTP client of a caller.
+func (f *fleet) newClient() *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return f.net.host(outside).Dial(ctx, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: 5 * time.Second}}
+}
+
+// answer is what a caller of a test got.
+type answer struct {
+	status   int
+	body     string
+	kind     problem.Kind
+	executed problem.Executed
+	next     string // ticket
+	err      error
+	took     time.Duration
+}
+
+// request is what a caller of a test sends.
+type request struct {
+	method, path, key, ticket, body string
+	timeout                         time.Duration
+}
+
+// ask sends a request to the caller port of a host.
+func (f *fleet) ask(h *host, q request) answer {
+	if q.method == "" {
+		q.method = http.MethodPost
+	}
+	if q.timeout == 0 {
+		q.timeout = 5 * time.Second
+	}
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), q.timeout+time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, q.method, fmt.Sprintf("http://%s:%d%s", h.address, callerPort, q.path), strings.NewReader(q.body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Request-Timeout", fmt.Sprint(q.timeout.Milliseconds()))
+	if q.key != "" {
+		r.Header.Set("Authorization", "Bearer "+q.key)
+	}
+	if q.ticket != "" {
+		r.Header.Set(caller.HeaderIdempotencyKey, q.ticket)
+	}
+	response, err := f.client.Do(r)
+	if err != nil {
+		return answer{err: err, took: time.Since(begun)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	a := answer{status: response.StatusCode, body: string(content), next: response.Header.Get(caller.HeaderNextTicket), err: err, took: time.Since(begun)}
+	if response.Header.Get("Content-Type") == problem.ContentType {
+		var p struct {
+			Kind     problem.Kind
+			Executed problem.Executed
+		}
+		_ = json.Unmarshal(content, &p)
+		a.kind, a.executed = p.Kind, p.Executed
+	}
+	return a
+}
+
+// get sends a keyed idempotent request.
+func (f *fleet) get(h *host, path, body string) answer {
+	return f.ask(h, request{path: path, key: testKey, body: body})
+}
+
+// ticketFrom gets a ticket from a host.
+func (f *fleet) ticketFrom(h *host) string {
+	a := f.ask(h, request{path: caller.TicketPath, key: testKey})
+	var issued issuedTicket
+	if err := json.Unmarshal([]byte(a.body), &issued); err != nil || issued.Ticket == "" {
+		f.t.Fatalf("no ticket: %+v", a)
+	}
+	return issued.Ticket
+}
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -77,6 +77,5 @@
 	d.hub.Close()
 	d.wg.Wait()
 	d.pool.Close()
-	d.client.Close()
 	return errors.Join(errs...)
 }
