Start keepers with the tables, so that their buckets fill before the first request

Cause: a keeper that is made at the first request is empty, and the first requests of each workspace were refused for rate.

--- a/internal/process/daemon/groups.go
+++ b/internal/process/daemon/groups.go
@@ -54,8 +54,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.workspaces = workspaces
-	for _, keeper := range g.keepers {
-		keeper.SetLimits(now, workspaces)
+	for group := range g.count {
+		if g.keepers[group] == nil {
+			g.keepers[group] = ratelimit.NewKeeper(group, g.count, 1)
+		}
+		g.keepers[group].SetLimits(now, workspaces)
 	}
 }
 
