--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -126,9 +126,14 @@
 }
 
 // newClient returns the HTTP client for the WebSocket handshakes. Connections
-// are never shared, since each becomes a link.
+// are never shared, since each becomes a link. net/http lets a dial go on when
+// its request has ended, so that the dial needs a time limit of its own.
 func newClient(cfg Config) *http.Client {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return cfg.Dial(ctx, address) }
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
+		defer cancel()
+		return cfg.Dial(ctx, address)
+	}
 	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 }
 
@@ -204,15 +209,20 @@
 		links = append(links, l)
 	}
 	h.mu.Unlock()
+	h.cancel()
 	for _, l := range links {
 		l.Close("hub closed")
 	}
-	h.cancel()
 	h.wg.Wait()
 }
 
 // ServeHTTP accepts a link from a peer and runs it until it ends.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.enter() {
+		http.Error(w, ErrClosed.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer h.wg.Done()
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return // Accept has written the HTTP error
@@ -225,6 +235,17 @@
 	h.run(l)
 }
 
+// enter counts a goroutine that Close has to wait for. It returns false if the
+// hub is closed.
+func (h *Hub) enter() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.closed {
+		h.wg.Add(1)
+	}
+	return !h.closed
+}
+
 // runDial connects to a peer, shares the result and runs the link.
 func (h *Hub) runDial(d *dial, key, member, address string) {
 	defer h.wg.Done()
--- a/internal/process/daemon/dispatcher.go
+++ b/internal/process/daemon/dispatcher.go
@@ -305,7 +305,7 @@
 
 // forward passes a request to the home of its ticket and waits for the answer.
 func (d *dispatcher) forward(ctx context.Context, member string, message *wire.Forward, deadline time.Time) answered {
-	link, err := d.members.link(ctx, member)
+	link, err := d.members.persistentLink(ctx, member)
 	if err != nil {
 		return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, "the ticket's home "+member+" does not answer: "+err.Error())}
 	}
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -87,7 +87,7 @@
 // answer checks a request and carries it out.
 func (e *entry) answer(w http.ResponseWriter, r *http.Request, q *received) (*wire.Response, *problem.Problem) {
 	if refusal := e.check(r, q); refusal != nil {
-		return nil, refusal
+		return nil, unlessRepeated(r, q, refusal)
 	}
 	// A body that does not arrive in time must not hold the request. Test
 	// writers without a connection do not support deadlines.
@@ -104,6 +104,16 @@
 	return response, refusal
 }
 
+// unlessRepeated returns a refusal that was decided before the ticket's home was
+// asked. A request with a ticket may be the repeat of one that ran, so that
+// "not executed" would not be proven.
+func unlessRepeated(r *http.Request, q *received, refusal *problem.Problem) *problem.Problem {
+	if q.route != nil && !q.route.Idempotent && r.Header.Get(caller.HeaderIdempotencyKey) != "" {
+		refusal.Executed = problem.ExecutedUnknown
+	}
+	return refusal
+}
+
 // check finds the route of a request and checks its key and header fields.
 func (e *entry) check(r *http.Request, q *received) *problem.Problem {
 	route, ok := q.tables.Tables.Match(r.Method, r.URL.Path)
--- a/internal/process/daemon/fleet_test.go
+++ b/internal/process/daemon/fleet_test.go
@@ -10,8 +10,8 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
@@ -54,22 +54,32 @@
 	address netip.Addr
 	server  *fakeServer
 	slots   int
-	state   backend.State
-	daemon  *Daemon
+	stopped chan error // of a planned stop that stopLater began
+
+	mu     sync.Mutex
+	state  backend.State
+	daemon *Daemon // nil while it does not run
 }
 
-// outside is where the callers of tests are.
-var outside = netip.MustParseAddr("127.0.1.1")
+// running returns the host's daemon, or nil.
+func (h *host) running() *Daemon {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.daemon
+}
 
-// inFleet runs a test in virtual time with one daemon per named pool entry.
-func inFleet(t *testing.T, pools []string, test func(f *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, pools)
-		defer f.close()
-		test(f)
-	})
+// swap replaces the host's daemon and returns the one before.
+func (h *host) swap(next *Daemon) *Daemon {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	previous := h.daemon
+	h.daemon = next
+	return previous
 }
 
+// outside is where the callers of tests are.
+var outside = netip.MustParseAddr("127.0.1.1")
+
 // newFleet starts the daemons and publishes tables with a route per pool
 // (/POOL, idempotent) and a non-idempotent one (/POOL-order).
 func newFleet(t *testing.T, pools []string) *fleet {
@@ -88,10 +98,10 @@
 	f.beats = cancel
 	go f.heartbeats(ctx)
 	f.publish(f.testTables(pools, 1000, 1000))
-	f.waitUntil("version in force everywhere", 10*time.Second, func(h *host) bool {
-		return h.daemon.configuration.current().Version == f.version && h.daemon.members.service.View().Alive == len(f.hosts)
+	f.waitUntil("version in force everywhere", 10*time.Second, func(d *Daemon) bool {
+		return d.configuration.current().Version == f.version && d.members.service.View().Alive == len(f.hosts)
 	})
-	time.Sleep(5 * time.Second) // buckets fill, upstreams warm up
+	time.Sleep(2 * time.Second) // buckets fill, upstreams warm up
 	return f
 }
 
@@ -137,40 +147,43 @@
 // start runs a daemon on the host.
 func (h *host) start() {
 	link := peer.DefaultConfig
-	h.daemon = New(Config{
+	daemon := New(Config{
 		Name: h.name, Zone: fmt.Sprintf("zone-%d", h.address.As4()[3]%2),
 		Caller: netip.AddrPortFrom(h.address, callerPort), Server: netip.AddrPortFrom(h.address, serverPortNumber),
 		Peer: netip.AddrPortFrom(h.address, peerPort), Admin: netip.AddrPortFrom(h.address, adminPort),
 		PollWait: time.Second, Retention: time.Hour, Heartbeat: time.Second, Workers: 2, RateGroups: 4,
 		LameDuck: 2 * time.Second, StopTimeout: 30 * time.Second, Link: link,
 	}, Surroundings{Network: h.fleet.net.host(h.address), Log: h.fleet.log, Server: h.server})
-	if err := h.daemon.Start(context.Background()); err != nil {
+	if err := daemon.Start(context.Background()); err != nil {
 		h.fleet.t.Fatal(err)
 	}
+	h.swap(daemon)
 	h.announce()
 }
 
 // announce announces the backend server.
 func (h *host) announce() {
-	if h.daemon == nil {
+	h.mu.Lock()
+	daemon, state := h.daemon, h.state
+	h.mu.Unlock()
+	if daemon == nil {
 		return
 	}
-	_ = h.daemon.server.announced(time.Now(), backend.Announcement{
-		Name: h.name, Pool: h.pool, Address: "127.0.0.1:1", Slots: h.slots, State: h.state,
+	_ = daemon.server.announced(time.Now(), backend.Announcement{
+		Name: h.name, Pool: h.pool, Address: "127.0.0.1:1", Slots: h.slots, State: state,
 	})
 }
 
 // kill ends the daemon without a graceful stop.
 func (h *host) kill() {
-	daemon := h.daemon
-	h.daemon = nil
-	_ = daemon.close()
+	if daemon := h.swap(nil); daemon != nil {
+		_ = daemon.close()
+	}
 }
 
 // stop ends the daemon gracefully.
 func (h *host) stop() error {
-	daemon := h.daemon
-	h.daemon = nil
+	daemon := h.swap(nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	return daemon.Stop(ctx)
@@ -188,21 +201,19 @@
 	f.beats()
 	f.client.CloseIdleConnections()
 	for _, h := range f.hosts {
-		if h.daemon != nil {
-			h.kill()
-		}
+		h.kill()
 	}
 	time.Sleep(time.Minute) // lets timers and connections end
 }
 
 // waitUntil waits until a condition holds on every running host.
-func (f *fleet) waitUntil(what string, limit time.Duration, condition func(h *host) bool) {
+func (f *fleet) waitUntil(what string, limit time.Duration, condition func(d *Daemon) bool) {
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	err := waitFor(ctx, 10*time.Millisecond, func() bool {
 		for _, h := range f.hosts {
-			if h.daemon != nil && !condition(h) {
+			if d := h.running(); d != nil && !condition(d) {
 				return false
 			}
 		}
--- a/internal/process/daemon/handover.go
+++ b/internal/process/daemon/handover.go
@@ -158,6 +158,13 @@
 	return t.home.Export(successor)
 }
 
+// abort ends a hand-over that the successor refused.
+func (t *tickets) abort() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.home.Abort()
+}
+
 func (t *tickets) confirm(serial uint64) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/daemon/members.go
+++ b/internal/process/daemon/members.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
@@ -40,6 +41,20 @@
 	return m.hub.Link(ctx, name, member.Peer.String())
 }
 
+// persistentLink returns a link to a member. It tries until ctx ends, unless the
+// member is gone.
+func (m *members) persistentLink(ctx context.Context, name string) (peer.Link, error) {
+	for {
+		link, err := m.link(ctx, name)
+		if err == nil || errors.Is(err, errNoMember) || errors.Is(err, syscall.ECONNREFUSED) {
+			return link, err
+		}
+		if !pause(ctx, reconnectDelay) {
+			return nil, err
+		}
+	}
+}
+
 // successorOf returns the member that took over the tickets of an incarnation
 // that has left, or "".
 func (m *members) successorOf(name string, incarnation uint64) string {
--- a/internal/process/daemon/path_test.go
+++ b/internal/process/daemon/path_test.go
@@ -1,33 +1,32 @@
 package daemon
 
 import (
-	"testing"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 )
 
-// Guards against a break of the whole path: key, route, rate, choice of an
-// upstream on another host, run and answer.
-func TestKeyedRequestIsAnsweredByAnotherHost(t *testing.T) {
-	inFleet(t, []string{"orders", "stock"}, func(f *fleet) {
-		a := f.get(f.hosts[0], "/stock/1", "barrel")
-		if a.status != 200 || a.body != "stock-2 fair barrel" {
-			f.t.Fatalf("got %+v", a)
-		}
+var _ = Describe("the whole path", func() {
+	// Guards against a break of the path: key, route, rate, choice of an
+	// upstream on another host, run and answer.
+	It("answers a keyed request that another host runs", func() {
+		inFleet([]string{"orders", "stock"}, func(f *fleet, g *WithT) {
+			a := f.get(f.hosts[0], "/stock/1", "barrel")
+			g.Expect(a.status).To(Equal(200))
+			g.Expect(a.body).To(Equal("stock-2 fair barrel"))
+		})
 	})
-}
 
-// Guards against a second run of a non-idempotent request whose caller repeats
-// it at other daemons with the same ticket.
-func TestRepeatedTicketRunsOnce(t *testing.T) {
-	inFleet(t, []string{"orders", "stock"}, func(f *fleet) {
-		ticket := f.ticketFrom(f.hosts[0])
-		for _, h := range f.hosts {
-			a := f.ask(h, request{path: "/stock-order", key: testKey, ticket: ticket, body: "bundle"})
-			if a.status != 200 || a.body != "stock-2 fair bundle" {
-				f.t.Fatalf("got %+v", a)
+	// Guards against a second run of a non-idempotent request whose caller
+	// repeats it at other daemons with the same ticket.
+	It("runs a request once that is repeated with its ticket", func() {
+		inFleet([]string{"orders", "stock"}, func(f *fleet, g *WithT) {
+			ticket := f.ticketFrom(f.hosts[0])
+			for _, h := range f.hosts {
+				a := f.ask(h, request{path: "/stock-order", key: testKey, ticket: ticket, body: "bundle"})
+				g.Expect(a.status).To(Equal(200))
+				g.Expect(a.body).To(Equal("stock-2 fair bundle"))
 			}
-		}
-		if runs := f.hosts[1].server.count("bundle"); runs != 1 {
-			f.t.Fatalf("ran %d times", runs)
-		}
+			g.Expect(f.hosts[1].server.count("bundle")).To(Equal(1))
+		})
 	})
-}
+})
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -19,17 +19,14 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	logging.Event(0, "stopping", "member", d.self.Member)
 	d.leaving.Store(true)
-	successor, ok := d.successor()
-	d.members.setLeaving(successor.Home)
+	d.members.setLeaving("")
 	d.hub.Broadcast(wire.GoAway{Reason: "planned stop"})
 	d.executor.leave()
 	pause(ctx, d.cfg.LameDuck)
 	var errs []error
 	// Shutdown waits for the requests of callers.
 	errs = append(errs, d.servers["caller"].Shutdown(ctx))
-	if ok {
-		errs = append(errs, d.handover.moveTickets(ctx, successor))
-	}
+	errs = append(errs, d.moveTickets(ctx))
 	errs = append(errs, d.executor.drainRuns(ctx))
 	errs = append(errs, waitFor(ctx, handoverRetryDelay, func() bool { return !d.dispatcher.waiting() }))
 	d.rates.returnAll()
@@ -39,6 +36,27 @@
 	return errors.Join(errs...)
 }
 
+// moveTickets hands the tickets over. If the successor refuses, for example
+// because it stops too, another one is chosen.
+func (d *Daemon) moveTickets(ctx context.Context) error {
+	for {
+		successor, ok := d.successor()
+		if !ok {
+			logging.Event(0, "tickets-not-handed-over", "reason", "no member takes them")
+			return nil
+		}
+		d.members.setLeaving(successor.Home)
+		err := d.handover.moveTickets(ctx, successor)
+		if !errors.Is(err, errHandoverRefused) || ctx.Err() != nil {
+			return err
+		}
+		if err := d.tickets.abort(); err != nil {
+			return err
+		}
+		pause(ctx, handoverRetryDelay)
+	}
+}
+
 // sayLeft tells the members and later readers of the log that this one has left.
 func (d *Daemon) sayLeft(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTime)
--- a/internal/process/daemon/tickets.go
+++ b/internal/process/daemon/tickets.go
@@ -82,7 +82,7 @@
 	}
 	q.request, refusal = caller.ReadRequest(r, q.route.MaxBodyBytes)
 	if refusal != nil {
-		return nil, refusal
+		return nil, unlessRepeated(r, q, refusal)
 	}
 	end := t.run(ctx, q.call(), parsed, true)
 	return end.response, end.refusal
@@ -276,7 +276,7 @@
 	}
 	workspace, ok := current.Tables.Key(tables.KeyDigest(message.Context.KeyDigest))
 	if !route.Open && (!ok || workspace != message.Context.Workspace) {
-		return answered{refusal: problem.New(problem.KindKeyUnknown, "the key is not in the tables of the ticket's home")}
+		return answered{refusal: problem.Unknown(problem.KindKeyUnknown, "the key is not in the tables of the ticket's home")}
 	}
 	q := &received{
 		id:       attemptName(message.ID),
