Tell refusals that come from the load from other refusals of the server

Cause: when a backend server answers 503 above a number of requests in flight, the quick refusals freed slots so fast that a raise by one request cost the whole queue; and a trial that was not low enough failed and was not repeated for seconds. A first correction with three steps of 0.7 per trial made the limit collapse when the server refuses a fifth at any load. Change: the limiter compares the requests in flight at the start of refused and of successful requests. Only if the refused ones were started at a higher load, it lowers the limit below that load. Three refusals end a raise at once. A limit that was lowered for refusals returns to the slots when refusals go on that do not come from the load.

--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -185,7 +185,7 @@
 		// long; one after a short time shows nothing.
 		c.measure(now, service)
 	}
-	c.limiter.finished(now, service, outcome)
+	c.limiter.finished(now, service, outcome, e.load)
 	c.drop(e)
 }
 
@@ -251,6 +251,7 @@
 	w.received = min(w.received+e.charged, c.queue.least()+c.maxDebt())
 	w.level.started(e.class, now.Sub(e.queuedAt))
 	c.limiter.started(now)
+	e.load = c.limiter.inFlight
 }
 
 // maxDebt is the server time that a workspace can be ahead of the others. It
--- a/internal/request/admission/limiter.go
+++ b/internal/request/admission/limiter.go
@@ -19,6 +19,9 @@
 	// limit is tried.
 	tolerance    = 1.5
 	maxShedShare = 0.02
+	// Numbers of refusals by the server that end a window, and a raise, at once.
+	maxSheds      = 10
+	maxTrialSheds = 3
 	// baseDrift lets the least mean service time follow a lasting change, per second.
 	baseDrift = 0.02
 
@@ -36,8 +39,13 @@
 	// improved is the factor of the service time at a lowered limit that tells
 	// that the cause is over.
 	improved = 0.7
-	// shedHalved is the factor of the shed share that a lower limit must reach.
-	shedHalved = 0.5
+	// loadedRatio is the ratio of the requests in flight at the start of refused
+	// and of successful requests above which the refusals come from the load.
+	loadedRatio = 1.05
+	// maxShedStep bounds a lowering for refusals, and shedHalved is the factor
+	// of their share that it must reach.
+	maxShedStep = 0.5
+	shedHalved  = 0.5
 
 	// Pauses before a trial; they double after each one that failed. A failed
 	// lowering costs up to 1 - lowerStep of the goodput while it lasts, a
@@ -88,8 +96,9 @@
 	successes int
 	service   time.Duration // sum over successes
 	shed      int
-	shedLoad  int // sum of the requests in flight at each shed
-	shedLeast int // least number in flight at a shed
+	// Requests in flight when the finished ones were started: sums, and the
+	// least for those that the server refused.
+	successLoad, shedLoad, shedLeast int
 }
 
 // sample is the result of a window.
@@ -98,7 +107,10 @@
 	goodput   float64 // successes per second
 	mean      time.Duration
 	shedShare float64
-	shedLimit float64 // limit below which the server might not refuse
+	// loaded tells that the server refused requests when more were in flight,
+	// and shedLimit is the limit below which it refused none.
+	loaded    bool
+	shedLimit float64
 }
 
 func (w *window) sample(now time.Time) sample {
@@ -112,9 +124,9 @@
 		s.mean = w.service / time.Duration(w.successes)
 	}
 	if w.shed > 0 {
-		// One less than the least load at which it refused, but not far from
-		// the usual one, so that a trial costs little if the load is not the cause.
-		s.shedLimit = max(float64(w.shedLeast-1), lowerStep*float64(w.shedLoad)/float64(w.shed))
+		shedLoad := float64(w.shedLoad) / float64(w.shed)
+		s.loaded = shedLoad > loadedRatio*float64(w.successLoad)/float64(max(1, w.successes))
+		s.shedLimit = max(float64(w.shedLeast-1), maxShedStep*shedLoad)
 	}
 	return s
 }
@@ -133,7 +145,9 @@
 // grows when another service that the server calls is slow, and then a lower
 // limit only lowers throughput. A growing service time, or refusals by the
 // server itself, therefore only start a trial, and the lower limit stays only
-// if the goodput stays, or if the refusals become half as many.
+// if the goodput stays. If the server refuses when more requests are in
+// flight, the limit is lowered below that load, and stays there if the
+// refusals become half as many.
 type limiter struct {
 	slots    int
 	limit    float64
@@ -190,18 +204,20 @@
 	l.inFlight++
 }
 
-// finished counts a request out.
-func (l *limiter) finished(now time.Time, service time.Duration, outcome Outcome) {
+// finished counts a request out. load is the number of requests in flight
+// when it was started, with itself.
+func (l *limiter) finished(now time.Time, service time.Duration, outcome Outcome, load int) {
 	l.observe(now)
 	switch outcome {
 	case Succeeded:
 		l.window.successes++
 		l.window.service += service
+		l.window.successLoad += load
 	case ServerShed:
 		l.window.shed++
-		l.window.shedLoad += l.inFlight
-		if l.window.shed == 1 || l.inFlight < l.window.shedLeast {
-			l.window.shedLeast = l.inFlight
+		l.window.shedLoad += load
+		if l.window.shed == 1 || load < l.window.shedLeast {
+			l.window.shedLeast = load
 		}
 	}
 	l.inFlight--
@@ -222,12 +238,13 @@
 	n := l.window.successes + l.window.shed
 	whole := elapsed >= maxLimitWindow || (elapsed >= minLimitWindow && n >= samplesPerWindow)
 	early := trying && elapsed >= minLimitWindow/2 && n >= earlySamples
-	if !whole && !early {
+	shedding := l.shedding()
+	if !whole && !early && !shedding {
 		return
 	}
 	s := l.window.sample(now)
 	if trying {
-		l.judge(now, s, whole)
+		l.judge(now, s, whole || shedding)
 		return
 	}
 	l.updateBase(s.mean, elapsed)
@@ -238,6 +255,14 @@
 	l.choose(now, s)
 }
 
+// shedding tells whether the server refuses so many requests that the window
+// has to end at once: a quick refusal frees its slot for the next request,
+// and the whole queue would be refused within a few milliseconds.
+func (l *limiter) shedding() bool {
+	raised := l.trial.cause == causeShed && l.trial.raise
+	return l.window.shed >= maxSheds || (raised && l.window.shed >= maxTrialSheds)
+}
+
 // updateBase follows the least mean service time.
 func (l *limiter) updateBase(mean, elapsed time.Duration) {
 	if mean <= 0 {
@@ -254,8 +279,16 @@
 func (l *limiter) choose(now time.Time, s sample) {
 	slow := s.mean > time.Duration(tolerance*float64(l.base))
 	switch {
-	case s.shedShare > maxShedShare && l.shedLower.over(now):
+	case l.lowered == causeShed && s.shedShare > maxShedShare && !s.loaded:
+		// The lower limit does not help any more.
+		l.lowered = causeNone
+		l.set(float64(l.slots))
+		l.shedLower.failed(now, minShedLowerPause, maxShedLowerPause)
+		l.settle(now, s.mean)
+	case s.shedShare > maxShedShare && s.loaded && l.shedLower.over(now):
 		l.try(now, causeShed, min(l.limit-1, s.shedLimit), s)
+	case s.shedShare > maxShedShare && !s.loaded && l.lower.over(now):
+		l.try(now, causeLatency, l.limit*lowerStep, s)
 	case l.limit < float64(l.slots) && s.saturated && s.mean < time.Duration(improved*float64(l.held)):
 		l.held = s.mean
 		l.tryRaise(now, fastRaise, s)
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -28,6 +28,7 @@
 	workspace *workspace
 	queuedAt  time.Time
 	charged   time.Duration
+	load      int // requests in flight when it was started, with itself
 	prev      *entry
 	next      *entry
 }
