Add the HTTP client of the platform's log

Cause: daemons and the operators' command read and append records; whether an append took effect decides what they may report. Change: Client implements Log with bounded answers and times, no redirects and no proxy. An append counts as certainly not done only if no connection was made or the answer is 503 with Tarragon-Not-Appended; a batch that breaks the contract of Batch is refused; an answer over 8 MiB is read again with a smaller limit. Measured before: nothing existed. Conclusion: the interface platform.Log is unchanged.

--- /dev/null
+++ b/internal/process/platform/client.go
@@ -0,0 +1,238 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// NotAppendedHeader marks a 503 answer to an append that certainly had no effect.
+const NotAppendedHeader = "Tarragon-Not-Appended"
+
+// Bounds and times of the client.
+const (
+	// DefaultRequestTimeout bounds a request, without the wait of a long poll.
+	DefaultRequestTimeout = 3 * time.Second
+	dialTimeout           = 2 * time.Second
+	idleConnTimeout       = 60 * time.Second
+	maxIdleConns          = 4 // one long poll for each stream, and one append
+	maxAnswerBytes        = 4 << 10
+	// maxBatchBytes bounds the answer to a read. It holds a few of the largest
+	// records, in base64; more would not fit in the 32 MB of a daemon.
+	maxBatchBytes = 8 << 20
+)
+
+// HTTPError is a failed request to the platform. It wraps one of this
+// package's errors.
+type HTTPError struct {
+	Op     string // "append" or "read"
+	Stream Stream
+	// Status is the HTTP status, or 0 if there was no answer.
+	Status int
+	Detail string
+	Err    error
+}
+
+// Error names the request, the cause and, through the wrapped error, the remedy.
+func (e *HTTPError) Error() string {
+	return fmt.Sprintf("%s on stream %q: status %d: %s: %v", e.Op, e.Stream, e.Status, e.Detail, e.Err)
+}
+
+// Unwrap returns ErrRejected, ErrUnknown or ErrTooLarge.
+func (e *HTTPError) Unwrap() error { return e.Err }
+
+// errBatchTooLarge tells that an answer exceeded maxBatchBytes.
+var errBatchTooLarge = errors.New("the batch is too large; read fewer records at a time")
+
+// Client is the Log of a platform over HTTP. It is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var _ Log = (*Client)(nil)
+
+// NewClient returns a client of the platform at address (IP:port). The timeout
+// bounds each request; 0 means DefaultRequestTimeout.
+func NewClient(address string, timeout time.Duration) *Client {
+	if timeout <= 0 {
+		timeout = DefaultRequestTimeout
+	}
+	return &Client{
+		base:    "http://" + address + "/v1/streams/",
+		timeout: timeout,
+		http: &http.Client{
+			// A redirect or a proxy would make it unclear who answered an append.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				MaxIdleConnsPerHost: maxIdleConns,
+				IdleConnTimeout:     idleConnTimeout,
+			},
+		},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream Stream, data []byte) (Offset, error) {
+	fail := func(status int, detail string, err error) (Offset, error) {
+		return 0, &HTTPError{Op: "append", Stream: stream, Status: status, Detail: detail, Err: err}
+	}
+	if len(data) > MaxRecordBytes {
+		return fail(0, fmt.Sprintf("%d bytes", len(data)), ErrTooLarge)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(stream, nil), bytes.NewReader(data))
+	if err != nil {
+		return fail(0, err.Error(), ErrRejected)
+	}
+	request.Header.Set("Content-Type", "application/octet-stream")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fail(0, err.Error(), classify(err))
+	}
+	defer drain(response.Body)
+	switch {
+	case response.StatusCode == http.StatusRequestEntityTooLarge:
+		return fail(response.StatusCode, errorText(response.Body), ErrTooLarge)
+	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(NotAppendedHeader) == "true":
+		return fail(response.StatusCode, errorText(response.Body), ErrRejected)
+	case response.StatusCode != http.StatusCreated:
+		return fail(response.StatusCode, errorText(response.Body), ErrUnknown)
+	}
+	var answer struct {
+		Offset *Offset `json:"offset"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&answer); err != nil || answer.Offset == nil {
+		return fail(response.StatusCode, fmt.Sprintf("no offset in the answer (%v)", err), ErrUnknown)
+	}
+	return *answer.Offset, nil
+}
+
+// classify tells whether a request without an answer can have taken effect. It
+// cannot if no connection was made.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrRejected
+	}
+	return ErrUnknown
+}
+
+// Read implements Log. It returns fewer records than limit if they would not
+// fit in one answer.
+func (c *Client) Read(ctx context.Context, stream Stream, from Offset, limit int, wait time.Duration) (Batch, error) {
+	for limit = max(limit, 1); ; limit = max(limit/4, 1) {
+		batch, err := c.readOnce(ctx, stream, from, limit, wait)
+		if limit == 1 || !errors.Is(err, errBatchTooLarge) {
+			return batch, err
+		}
+	}
+}
+
+func (c *Client) readOnce(ctx context.Context, stream Stream, from Offset, limit int, wait time.Duration) (Batch, error) {
+	fail := func(status int, detail string, err error) (Batch, error) {
+		return Batch{}, &HTTPError{Op: "read", Stream: stream, Status: status, Detail: detail, Err: err}
+	}
+	wait = max(wait, 0)
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream, url.Values{
+		"from":    {strconv.FormatUint(uint64(from), 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}), nil)
+	if err != nil {
+		return fail(0, err.Error(), ErrRejected)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fail(0, err.Error(), classify(err))
+	}
+	defer drain(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return fail(response.StatusCode, errorText(response.Body), ErrUnknown)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBatchBytes+1))
+	if err != nil {
+		return fail(response.StatusCode, err.Error(), ErrUnknown)
+	}
+	if len(body) > maxBatchBytes {
+		return fail(response.StatusCode, fmt.Sprintf("over %d bytes", maxBatchBytes), errBatchTooLarge)
+	}
+	batch, err := decodeBatch(body, from, limit)
+	if err != nil {
+		return fail(response.StatusCode, err.Error(), ErrUnknown)
+	}
+	return batch, nil
+}
+
+// decodeBatch reads the answer to a read and checks the contract of Batch.
+func decodeBatch(body []byte, from Offset, limit int) (Batch, error) {
+	var answer struct {
+		First   *Offset `json:"first"`
+		Next    *Offset `json:"next"`
+		Records []struct {
+			Offset Offset `json:"offset"`
+			Data   []byte `json:"data"`
+		} `json:"records"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return Batch{}, err
+	}
+	if answer.First == nil || answer.Next == nil || *answer.First > *answer.Next {
+		return Batch{}, errors.New("first and next are missing or out of order")
+	}
+	batch := Batch{First: *answer.First, Next: *answer.Next}
+	if len(answer.Records) > limit {
+		return Batch{}, fmt.Errorf("%d records instead of at most %d", len(answer.Records), limit)
+	}
+	expected := max(from, batch.First)
+	for _, r := range answer.Records {
+		if r.Offset != expected || r.Offset >= batch.Next || len(r.Data) > MaxRecordBytes {
+			return Batch{}, fmt.Errorf("record %d is out of order or too large", r.Offset)
+		}
+		batch.Records = append(batch.Records, Record{Offset: r.Offset, Data: r.Data})
+		expected++
+	}
+	return batch, nil
+}
+
+func (c *Client) url(stream Stream, query url.Values) string {
+	address := c.base + url.PathEscape(string(stream)) + "/records"
+	if query != nil {
+		address += "?" + query.Encode()
+	}
+	return address
+}
+
+// errorText returns the text of {"error": "..."}, or the start of the body.
+func errorText(body io.Reader) string {
+	data, _ := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	var answer struct {
+		Error string `json:"error"`
+	}
+	if json.Unmarshal(data, &answer) == nil && answer.Error != "" {
+		return answer.Error
+	}
+	return strconv.Quote(string(data[:min(len(data), 200)]))
+}
+
+// drain reads the rest of a short answer, so that the connection can be used again.
+func drain(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
+	_ = body.Close()
+}
