--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		panic(err)
 	}
-	d := daemon.New(cfg, daemon.Surroundings{Network: network.System{}, Log: platform.NewClient(f.Section("platform").Key("address").String()), Server: backend.NewClient(256, 4<<20), Metrics: m})
+	d := daemon.New(cfg, daemon.Surroundings{Network: network.System{}, Log: platform.NewClient(f.Section("platform").Key("address").String(), 5*time.Second), Server: backend.NewClient(256, 4<<20), Metrics: m})
 	if err := d.Start(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/internal/process/testbed/publish.go
+++ b/internal/process/testbed/publish.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"crypto/rand"
+	"time"
 
 	"tarragonshore.example/tarragonshore/internal/process/platform"
 	"tarragonshore.example/tarragonshore/internal/version/history"
 	"tarragonshore.example/tarragonshore/internal/version/tables"
 )
 
+// platformTimeout bounds an append to the stand-in.
+const platformTimeout = 5 * time.Second
+
 // Publish appends the first edit of an empty log. It does not read it back;
 // WaitInForce shows that the daemons have it.
 func (b *Bed) Publish(ctx context.Context, routes, pools string) error {
@@ -25,6 +29,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = platform.NewClient(b.PlatformAddr).Append(ctx, platform.StreamTables, record)
+	_, err = platform.NewClient(b.PlatformAddr, platformTimeout).Append(ctx, platform.StreamTables, record)
 	return err
 }
--- a/internal/version/history/record.go
+++ b/internal/version/history/record.go
@@ -202,9 +202,17 @@
 	}
 	switch e.Type {
 	case typeEdit:
-		return decodeEdit(e.Body)
+		edit, err := decodeEdit(e.Body)
+		if err != nil {
+			return nil, err // not a typed nil
+		}
+		return edit, nil
 	case typeSnapshot:
-		return decodeSnapshot(e.Body)
+		s, err := decodeSnapshot(e.Body)
+		if err != nil {
+			return nil, err // not a typed nil
+		}
+		return s, nil
 	}
 	return nil, &DecodeError{Reason: fmt.Sprintf("unknown record type %d", e.Type)}
 }
