Make refusals of tickets final and results independent of map order

Cause: after a refused request its ticket was unused again, and a delayed copy of an earlier try could then run although its caller had been told "no". Change: Home.Release became Home.Refuse; the ticket stays refused, in a set of its own with the limit MaxRefused, and is handed over. If there is no room the refusal must say "unknown", which Refuse returns. Forwarded requests are settled like attempts instead of being sent again. Actions, swept keys and exports are sorted. Attempts needs AnswerReserve free to take an attempt.

--- a/internal/request/execution/attempts.go
+++ b/internal/request/execution/attempts.go
@@ -7,6 +7,8 @@
 package execution
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
@@ -58,8 +60,11 @@
 	MaxLive int
 	// MaxRemembered bounds fences and ids of ended attempts.
 	MaxRemembered int
-	// MaxAnswerBytes bounds the kept answers.
+	// MaxAnswerBytes bounds the kept answers. An answer that does not fit is
+	// sent once and not kept.
 	MaxAnswerBytes int
+	// AnswerReserve must be free for an attempt to be taken.
+	AnswerReserve int
 	// MaxTimeout is the longest timeout of a route.
 	MaxTimeout time.Duration
 	// MaxDelay is the longest time from writing a message to a link until the
@@ -75,6 +80,7 @@
 		MaxLive:        4096,
 		MaxRemembered:  64_000,
 		MaxAnswerBytes: 8 << 20,
+		AnswerReserve:  64 << 10,
 		MaxTimeout:     30 * time.Second,
 		MaxDelay:       5 * time.Second,
 	}
@@ -195,7 +201,7 @@
 		return Offered{Outcome: OfferRefused, Reason: ReasonNoTime,
 			Refusal: problem.New(problem.KindDeadline, string(ReasonNoTime))}
 	}
-	if len(a.live) >= a.options.MaxLive || a.bytes >= a.options.MaxAnswerBytes {
+	if len(a.live) >= a.options.MaxLive || a.bytes+a.options.AnswerReserve > a.options.MaxAnswerBytes {
 		a.remember(id, ended{asker: asker, fenced: true})
 		return Offered{Outcome: OfferRefused, Reason: ReasonFull,
 			Refusal: problem.New(problem.KindOverloaded, string(ReasonFull))}
@@ -372,7 +378,7 @@
 			stops = a.cancel(stops, id, known, ReasonLinkLost)
 		}
 	}
-	return stops
+	return sortStops(stops)
 }
 
 // AskerGone cancels all attempts of an incarnation that has ended.
@@ -383,6 +389,13 @@
 			stops = a.cancel(stops, id, known, ReasonPeerGone)
 		}
 	}
+	return sortStops(stops)
+}
+
+// sortStops makes the result independent of the order of maps, so that a run
+// with a fixed seed can be repeated.
+func sortStops(stops []Stop) []Stop {
+	slices.SortFunc(stops, func(a, b Stop) int { return bytes.Compare(a.ID[:], b.ID[:]) })
 	return stops
 }
 
@@ -409,7 +422,7 @@
 	if old > 0 {
 		a.order = append(a.order[:0], a.order[old:]...)
 	}
-	return stops
+	return sortStops(stops)
 }
 
 // Counts returns the numbers of live attempts and remembered ids, and the
--- a/internal/request/execution/pending.go
+++ b/internal/request/execution/pending.go
@@ -1,21 +1,22 @@
 package execution
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
 )
 
-// Sent is an attempt or a forwarded request that waits for its answer.
+// Sent is an attempt or a forwarded request that waits for its answer. A home
+// keeps forwarded requests in its Attempts too: a delayed copy of one that was
+// settled must not begin later.
 type Sent struct {
 	ID       wire.AttemptID
 	Peer     Peer   // the incarnation it was sent to
 	Link     uint64 // the link it was sent on, unique within this daemon
 	Deadline time.Time
-	// Forward: a request to the home of its ticket. It can be sent again with
-	// the same ticket, so that it is not settled.
-	Forward bool
 }
 
 // ActionKind is what the asking daemon must do.
@@ -25,8 +26,6 @@
 const (
 	// ActionSettle: send Settle on Action.Link.
 	ActionSettle ActionKind = iota + 1
-	// ActionResend: send the forwarded request again on Action.Link.
-	ActionResend
 	// ActionNotExecuted: it never ran and never will; it may be tried elsewhere.
 	ActionNotExecuted
 	// ActionUnknown: it may have run.
@@ -145,13 +144,9 @@
 			continue
 		}
 		w.Link, w.lost = link, false
-		kind := ActionSettle
-		if w.Forward {
-			kind = ActionResend
-		}
-		actions = append(actions, Action{Kind: kind, ID: w.ID, Peer: peer, Link: link, Reason: ReasonLinkLost})
+		actions = append(actions, Action{Kind: ActionSettle, ID: w.ID, Peer: peer, Link: link, Reason: ReasonLinkLost})
 	}
-	return actions
+	return sortActions(actions)
 }
 
 // OnPeerIncarnationChanged ends the attempts that were sent to an older
@@ -164,7 +159,7 @@
 			actions = p.end(actions, w, ActionUnknown, ReasonPeerRestarted)
 		}
 	}
-	return actions
+	return sortActions(actions)
 }
 
 // OnPeerGone ends the attempts of an incarnation that is dead and not replaced.
@@ -175,14 +170,14 @@
 			actions = p.end(actions, w, ActionUnknown, ReasonPeerGone)
 		}
 	}
-	return actions
+	return sortActions(actions)
 }
 
 // OnSettleResult takes the result of a settle. Running and answered attempts
 // go on waiting for their answer.
 func (p *Pending) OnSettleResult(from Peer, result *wire.SettleResult) []Action {
 	w := p.waiting[result.ID]
-	if w == nil || w.Peer != from || w.Forward {
+	if w == nil || w.Peer != from {
 		return nil
 	}
 	switch result.State {
@@ -203,9 +198,14 @@
 			continue
 		}
 		actions = p.end(actions, w, ActionUnknown, ReasonDeadline)
-		if !w.Forward {
-			actions = append(actions, Action{Kind: ActionCancel, ID: w.ID, Peer: w.Peer, Reason: ReasonDeadline})
-		}
+		actions = append(actions, Action{Kind: ActionCancel, ID: w.ID, Peer: w.Peer, Reason: ReasonDeadline})
 	}
+	return sortActions(actions)
+}
+
+// sortActions makes the result independent of the order of maps, so that a run
+// with a fixed seed can be repeated. The actions of one attempt keep their order.
+func sortActions(actions []Action) []Action {
+	slices.SortStableFunc(actions, func(a, b Action) int { return bytes.Compare(a.ID[:], b.ID[:]) })
 	return actions
 }
--- a/internal/request/ticket/handover.go
+++ b/internal/request/ticket/handover.go
@@ -1,6 +1,8 @@
 package ticket
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -60,6 +62,17 @@
 	Previous uint64           `cbor:"1,keyasint"` // serial of the export before, 0 for the first
 	Origins  []originDocument `cbor:"2,keyasint"`
 	Entries  []entryDocument  `cbor:"3,keyasint"`
+	Refused  []Key            `cbor:"4,keyasint,omitempty"`
+	Ends     []int64          `cbor:"5,keyasint,omitempty"` // of Refused
+}
+
+// add describes a ticket that is not in progress.
+func (d *document) add(key Key, e *entry, refused bool) {
+	if refused {
+		d.Refused, d.Ends = append(d.Refused, key), append(d.Ends, e.end)
+		return
+	}
+	d.Entries = append(d.Entries, describe(key, e))
 }
 
 type originDocument struct {
@@ -111,24 +124,33 @@
 	doc := document{Previous: h.confirmed}
 	var keys []Key
 	if h.phase == phaseServing {
-		for owner, from := range h.origins {
+		for _, owner := range h.Origins() {
+			from := h.origins[owner]
 			doc.Origins = append(doc.Origins, originDocument{
 				Owner: owner, Secret: from.secret[:], LastEnd: from.lastEnd,
 				Horizon: from.horizon, Imported: from.imported,
 			})
 		}
-		for key, e := range h.settled {
-			doc.Entries = append(doc.Entries, describe(key, e))
+		for _, key := range sortedKeys(h.settled) {
+			doc.add(key, h.settled[key], false)
 			keys = append(keys, key)
 		}
-		for key, e := range h.open {
-			held := describe(key, e)
+		for _, end := range slices.Sorted(maps.Keys(h.expiry)) {
+			for _, key := range h.expiry[end] {
+				if h.origins[key.Owner] != nil && h.isRefused(key) {
+					doc.add(key, &entry{end: end * 1000}, true)
+					keys = append(keys, key)
+				}
+			}
+		}
+		for _, key := range sortedKeys(h.open) {
+			held := describe(key, h.open[key])
 			held.State, held.Holder = stateHeld, h.self
 			doc.Entries = append(doc.Entries, held)
 		}
 	} else {
-		for key, e := range h.late {
-			doc.Entries = append(doc.Entries, describe(key, e))
+		for _, key := range sortedKeys(h.late) {
+			doc.add(key, h.late[key], h.isRefused(key))
 			keys = append(keys, key)
 		}
 	}
@@ -141,6 +163,10 @@
 	return nil
 }
 
+func sortedKeys(entries map[Key]*entry) []Key {
+	return slices.SortedFunc(maps.Keys(entries), compareKeys)
+}
+
 func describe(key Key, e *entry) entryDocument {
 	return entryDocument{
 		Key: key, State: e.state, Reason: e.reason, Fingerprint: e.fingerprint[:],
@@ -175,11 +201,10 @@
 		return &Error{Reason: ReasonHandoverState}
 	}
 	for _, key := range h.exported {
-		if e := h.settled[key]; e != nil {
-			h.charge(e, 0)
-			delete(h.settled, key)
-			delete(h.late, key)
+		if h.origins[key.Owner] != nil {
+			h.drop(key)
 		}
+		delete(h.late, key)
 	}
 	h.phase, h.confirmed = phaseHandedOver, serial
 	h.export, h.exported = nil, nil
@@ -198,8 +223,12 @@
 	late := h.late
 	h.late = map[Key]*entry{}
 	for key, e := range late {
-		delete(h.settled, key)
-		if e.state != stateReleased {
+		switch {
+		case h.isRefused(key):
+			h.expireAt(e.end, key)
+		case e.state == stateReleased:
+			delete(h.settled, key)
+		default:
 			h.settle(key, e)
 		}
 	}
@@ -221,7 +250,9 @@
 		MaxNestedLevels:  8,
 		MaxArrayElements: elements,
 		MaxMapPairs:      pairs,
-		IndefLength:      cbor.IndefLengthForbidden,
+		// Header values may have any bytes over 0x7f.
+		UTF8:        cbor.UTF8DecodeInvalid,
+		IndefLength: cbor.IndefLengthForbidden,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
@@ -333,7 +364,15 @@
 		}
 		bytes += ResponseSize(e.Response)
 	}
-	if h.Entries()+entries > h.options.MaxEntries {
+	if len(doc.Ends) != len(doc.Refused) {
+		return &Error{Reason: ReasonSnapshotInvalid}
+	}
+	for i, key := range doc.Refused {
+		if !known[key.Owner] || doc.Ends[i] < 0 || doc.Ends[i] > maxUnixMilli {
+			return &Error{Reason: ReasonSnapshotInvalid}
+		}
+	}
+	if h.Entries()+entries > h.options.MaxEntries || h.refused+len(doc.Refused) > h.options.MaxRefused {
 		return &Error{Reason: ReasonTableFull}
 	}
 	if h.charged+bytes > h.options.MaxAnswerBytes {
@@ -363,14 +402,13 @@
 		}
 		// The origin stays at least as long as its home may finish requests.
 		lastEnd := max(o.LastEnd, now.Add(Lifetime).UnixMilli())
-		taken := &origin{lastEnd: lastEnd, horizon: o.Horizon, imported: o.Imported}
-		copy(taken.secret[:], o.Secret)
-		taken.signer = newSigner(o.Secret)
+		taken := newOrigin(o.Secret)
+		taken.lastEnd, taken.horizon, taken.imported = lastEnd, o.Horizon, o.Imported
 		h.origins[o.Owner] = taken
 	}
 	for _, d := range doc.Entries {
 		old := h.find(d.Key)
-		if old != nil && old.state != stateHeld {
+		if old != nil && old.state != stateHeld || h.isRefused(d.Key) {
 			continue
 		}
 		delete(h.settled, d.Key)
@@ -382,6 +420,14 @@
 		h.charge(e, ResponseSize(d.Response))
 		h.settle(d.Key, e)
 	}
+	for i, key := range doc.Refused {
+		if old := h.find(key); old == nil || old.state == stateHeld {
+			delete(h.settled, key)
+			if !h.isRefused(key) {
+				h.refuse(key, doc.Ends[i])
+			}
+		}
+	}
 }
 
 // HolderGone makes the requests unknown that an old home held when it ended.
@@ -409,5 +455,6 @@
 			holders = append(holders, e.holder)
 		}
 	}
+	slices.SortFunc(holders, compareOwners)
 	return holders
 }
--- a/internal/request/ticket/home.go
+++ b/internal/request/ticket/home.go
@@ -1,7 +1,9 @@
 package ticket
 
 import (
+	"cmp"
 	"io"
+	"slices"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
@@ -12,6 +14,10 @@
 type Options struct {
 	// MaxEntries bounds the used tickets.
 	MaxEntries int
+	// MaxRefused bounds the tickets whose request was refused and did not run.
+	// They take about 60 bytes each and are kept apart, so that refusals under
+	// overload do not use up the room for requests that run.
+	MaxRefused int
 	// MaxAnswerBytes bounds the stored answers, counted by ResponseSize.
 	MaxAnswerBytes int
 	// AnswerReserve is set aside for each request in progress. An answer up to
@@ -23,9 +29,10 @@
 }
 
 // DefaultOptions keeps the table within about half of the 32 MB that a daemon
-// may use: 40,000 entries of some 200 bytes, and 8 MiB of answers.
+// may use: 20,000 entries of some 300 bytes, 50,000 refused tickets of some 60
+// bytes, and 8 MiB of answers.
 func DefaultOptions() Options {
-	return Options{MaxEntries: 40_000, MaxAnswerBytes: 8 << 20, AnswerReserve: 4 << 10, Retention: 30 * time.Second}
+	return Options{MaxEntries: 20_000, MaxRefused: 50_000, MaxAnswerBytes: 8 << 20, AnswerReserve: 4 << 10, Retention: 30 * time.Second}
 }
 
 type state uint8
@@ -35,7 +42,7 @@
 	stateDispatched                  // may run
 	stateAnswered
 	stateUnknown
-	stateReleased // not run; waits for the hand-over to reach the successor
+	stateReleased // not run and unused again, once the successor knows it
 	stateHeld     // the old home still runs it
 )
 
@@ -58,6 +65,10 @@
 	secret  [secretBytes]byte
 	signer  *signer
 	lastEnd int64 // no ticket of this origin ends later
+	// refused has the numbers of tickets that were refused; it is final, since
+	// a delayed try of the same request would otherwise run after its caller
+	// was told that it did not.
+	refused map[uint64]struct{}
 	// horizon: the state of tickets that end before it may have been dropped.
 	// It keeps them from running again when the wall clock is set back.
 	horizon  int64
@@ -81,7 +92,8 @@
 	// open has the requests in progress here; settled has all other entries.
 	open    map[Key]*entry
 	settled map[Key]*entry
-	expiry  map[int64][]Key // settled keys by the second in which they end
+	expiry  map[int64][]Key // settled and refused keys by the second in which they end
+	refused int
 	charged int
 
 	phase     phase
@@ -89,8 +101,8 @@
 	serial    uint64
 	confirmed uint64
 	export    *Snapshot      // the last export, until it is confirmed
-	exported  []Key          // its entries that the successor then owns
-	late      map[Key]*entry // settled after the first export
+	exported  []Key          // its tickets that the successor then owns
+	late      map[Key]*entry // ended after the first export
 	imports   map[Owner]*assembly
 }
 
@@ -113,10 +125,16 @@
 		late:    map[Key]*entry{},
 		imports: map[Owner]*assembly{},
 	}
-	h.origins[self] = &origin{secret: secret, signer: newSigner(secret[:])}
+	h.origins[self] = newOrigin(secret[:])
 	return h, nil
 }
 
+func newOrigin(secret []byte) *origin {
+	o := &origin{signer: newSigner(secret), refused: map[uint64]struct{}{}}
+	copy(o.secret[:], secret)
+	return o
+}
+
 // Issue returns a new ticket. An unused ticket takes no memory.
 func (h *Home) Issue(now time.Time, workspace string) (Ticket, error) {
 	if h.phase != phaseServing {
@@ -148,6 +166,9 @@
 	return ""
 }
 
+// Refused returns the number of refused tickets that are remembered.
+func (h *Home) Refused() int { return h.refused }
+
 // Entries returns the number of used tickets.
 func (h *Home) Entries() int { return len(h.open) + len(h.settled) }
 
@@ -181,6 +202,9 @@
 	if e := h.find(d.Key); e != nil {
 		return h.repeat(d, e, use)
 	}
+	if _, ok := from.refused[t.Number]; ok {
+		return d.with(Refused, ReasonRefused).executed(problem.ExecutedNo)
+	}
 	end := t.End.UnixMilli()
 	switch {
 	case h.phase == phaseHandedOver:
@@ -193,7 +217,7 @@
 		return d.with(Expired, ReasonExpired).executed(problem.ExecutedNo)
 	}
 	if reason := h.full(); reason != "" {
-		return d.with(Full, reason).executed(problem.ExecutedNo)
+		return d.with(Full, reason).executed(h.refuse(d.Key, end))
 	}
 	h.open[d.Key] = &entry{
 		state:       stateOpen,
@@ -303,24 +327,59 @@
 	return e, nil
 }
 
-// Release ends a request that was refused and did not run. Its ticket is then
-// unused again, so that refused requests take no memory and the caller can
-// repeat the request with the same ticket.
-func (h *Home) Release(key Key) error {
+// Refuse ends a request that did not run and will not. Its ticket is refused
+// from then on; the caller repeats the request with a new ticket, which the
+// refusal can carry. The refusal to the callers must have the returned value:
+// if there is no room to remember the ticket, it is unused again, and then
+// "no" could become false by a delayed try of the same request.
+func (h *Home) Refuse(key Key) (problem.Executed, error) {
 	e := h.open[key]
 	if e == nil {
-		return &Error{Reason: ReasonNotInProgress}
+		return problem.ExecutedUnknown, &Error{Reason: ReasonNotInProgress}
 	}
 	if e.state != stateOpen {
-		return &Error{Reason: ReasonDispatched}
+		return problem.ExecutedUnknown, &Error{Reason: ReasonDispatched}
 	}
 	delete(h.open, key)
 	h.charge(e, 0)
+	executed := h.refuse(key, e.end)
 	if h.phase != phaseServing {
 		e.state = stateReleased
-		h.settle(key, e)
+		if executed == problem.ExecutedNo {
+			h.late[key] = e
+		} else {
+			h.settle(key, e)
+		}
 	}
-	return nil
+	return executed, nil
+}
+
+// refuse remembers that a ticket is refused, if there is room.
+func (h *Home) refuse(key Key, end int64) problem.Executed {
+	if h.refused >= h.options.MaxRefused {
+		return problem.ExecutedUnknown
+	}
+	h.origins[key.Owner].refused[key.Number] = struct{}{}
+	h.refused++
+	h.expireAt(end, key)
+	return problem.ExecutedNo
+}
+
+func (h *Home) isRefused(key Key) bool {
+	_, ok := h.origins[key.Owner].refused[key.Number]
+	return ok
+}
+
+// allow forgets that a ticket was refused.
+func (h *Home) allow(key Key) {
+	if h.isRefused(key) {
+		delete(h.origins[key.Owner].refused, key.Number)
+		h.refused--
+	}
+}
+
+func (h *Home) expireAt(end int64, key Key) {
+	h.expiry[end/1000] = append(h.expiry[end/1000], key)
 }
 
 // Complete stores the answer of an attempt; response must not be changed
@@ -369,8 +428,7 @@
 // settle files an entry that is no longer in progress here.
 func (h *Home) settle(key Key, e *entry) {
 	h.settled[key] = e
-	second := e.end / 1000
-	h.expiry[second] = append(h.expiry[second], key)
+	h.expireAt(e.end, key)
 	if h.phase != phaseServing {
 		h.late[key] = e
 	}
@@ -378,23 +436,29 @@
 
 // Swept is a request that Sweep ended, for the daemon to tell its callers.
 type Swept struct {
-	Key     Key
-	Unknown bool // false: it was not dispatched and its ticket is unused again
+	Key Key
+	// Executed is for the refusal to the callers.
+	Executed problem.Executed
 }
 
 // Sweep ends requests in progress whose deadline has passed and forgets used
 // tickets after their end and the retention. Call it about once a second.
 func (h *Home) Sweep(now time.Time) []Swept {
-	var swept []Swept
+	var over []Key
 	for key, e := range h.open {
-		if now.Before(e.deadline) {
-			continue
+		if !now.Before(e.deadline) {
+			over = append(over, key)
 		}
+	}
+	slices.SortFunc(over, compareKeys)
+	var swept []Swept
+	for _, key := range over {
+		e := h.open[key]
 		if e.state == stateDispatched {
 			h.markUnknown(key, e, ReasonDeadline)
-			swept = append(swept, Swept{Key: key, Unknown: true})
-		} else if h.Release(key) == nil {
-			swept = append(swept, Swept{Key: key})
+			swept = append(swept, Swept{Key: key, Executed: problem.ExecutedUnknown})
+		} else if executed, err := h.Refuse(key); err == nil {
+			swept = append(swept, Swept{Key: key, Executed: executed})
 		}
 	}
 	h.forget(now.Add(-h.options.Retention).Unix())
@@ -409,24 +473,41 @@
 			continue
 		}
 		for _, key := range keys {
-			// A request of the same ticket may be in progress again, or its
-			// hand-over may be outstanding.
-			if e := h.settled[key]; e != nil && h.late[key] == nil {
-				h.charge(e, 0)
-				delete(h.settled, key)
-				from := h.origins[key.Owner]
-				from.horizon = max(from.horizon, (end+1)*1000)
+			from := h.origins[key.Owner]
+			if from == nil || h.late[key] != nil {
+				continue // the hand-over of a late one is outstanding
 			}
+			h.drop(key)
+			from.horizon = max(from.horizon, (end+1)*1000)
 		}
 		delete(h.expiry, end)
 	}
 	for owner, from := range h.origins {
-		if owner != h.self && from.lastEnd < second*1000 {
+		if owner != h.self && from.lastEnd < second*1000 && h.phase == phaseServing && !h.runs(owner) {
 			delete(h.origins, owner)
 		}
 	}
 }
 
+// runs tells that a request with a ticket of the owner is in progress.
+func (h *Home) runs(owner Owner) bool {
+	for key := range h.open {
+		if key.Owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
+// drop forgets the state of a ticket that is not in progress.
+func (h *Home) drop(key Key) {
+	if e := h.settled[key]; e != nil {
+		h.charge(e, 0)
+		delete(h.settled, key)
+	}
+	h.allow(key)
+}
+
 // Origins returns the incarnations whose tickets this home serves, for its
 // member record: daemons find the successor of an ended home there.
 func (h *Home) Origins() []Owner {
@@ -434,5 +515,17 @@
 	for owner := range h.origins {
 		owners = append(owners, owner)
 	}
+	slices.SortFunc(owners, compareOwners)
 	return owners
 }
+
+// Results are sorted to be independent of the order of maps, so that a run
+// with a fixed seed can be repeated.
+
+func compareOwners(a, b Owner) int {
+	return cmp.Or(cmp.Compare(a.Home, b.Home), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(compareOwners(a.Owner, b.Owner), cmp.Compare(a.Number, b.Number))
+}
--- a/internal/request/ticket/outcome.go
+++ b/internal/request/ticket/outcome.go
@@ -13,7 +13,7 @@
 // The outcomes of Home.Begin.
 const (
 	// Dispatch: the caller is the only one to run the request; it must end it
-	// with Complete, MarkUnknown or Release.
+	// with Complete, MarkUnknown or Refuse.
 	Dispatch Outcome = iota + 1
 	// Replay: Decision.Response is the stored answer.
 	Replay
@@ -30,8 +30,10 @@
 	WrongHome
 	// Unknown: the request may have run and is never run again.
 	Unknown
-	// Full: the table has no room; nothing was run.
+	// Full: the table has no room; this call runs nothing.
 	Full
+	// Refused: the request was refused before and never runs with this ticket.
+	Refused
 	// Moving: the ticket is being handed over; ask again after Confirm or Abort.
 	Moving
 )
@@ -60,6 +62,7 @@
 	ReasonAnswerTooLarge  Reason = "request ran, but its answer was too large to keep"
 	ReasonTableFull       Reason = "table of used tickets is full"
 	ReasonAnswersFull     Reason = "memory for stored answers is full"
+	ReasonRefused         Reason = "request with this ticket was refused before"
 	ReasonMoving          Reason = "table is being handed over"
 	ReasonNotInProgress   Reason = "request is not in progress"
 	ReasonDispatched      Reason = "request is already dispatched"
@@ -128,7 +131,7 @@
 	switch d.Outcome {
 	case Conflict:
 		p.Kind = problem.KindTicketConflict
-	case Invalid, Expired:
+	case Invalid, Expired, Refused:
 		p.Kind = problem.KindTicketInvalid
 	case Unknown:
 		p.Kind = problem.KindOutcomeUnknown
