--- a/internal/request/execution/cancel.go
+++ b/internal/request/execution/cancel.go
@@ -10,8 +10,5 @@
 		return nil
 	}
 	actions := p.end(nil, w, ActionUnknown, reason)
-	if !w.Forward {
-		actions = append(actions, Action{Kind: ActionCancel, ID: w.ID, Peer: w.Peer, Reason: reason})
-	}
-	return actions
+	return append(actions, Action{Kind: ActionCancel, ID: w.ID, Peer: w.Peer, Reason: reason})
 }
