Add logging and the checked settings of the programs

Cause: all programs need the same log lines and the same strict settings, and the documentation must not drift from the checks. Change: logging writes one line of key=value pairs per event with klog; values of secret names, headers and bodies are replaced. settings declares each setting once (type, default, bounds, meaning), reads file and TARRAGON_SECTION_KEY, reports all faults with file, section, key, value and remedy, and renders the reference table. Measured before: nothing existed.

--- /dev/null
+++ b/internal/process/logging/logging.go
@@ -0,0 +1,153 @@
+// Package logging writes one line of key=value pairs per event with klog.
+// Keys and other secrets are never written.
+package logging
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+
+	"k8s.io/klog/v2"
+)
+
+// Level orders events by weight.
+type Level int32
+
+// The levels. Events below the level that Setup was given are not written.
+const (
+	Debug Level = iota
+	Info
+	Warning
+	Error
+)
+
+// Levels lists the names of the levels, the least weighty first.
+var Levels = []string{"debug", "info", "warning", "error"}
+
+// ParseLevel returns the level of a name.
+func ParseLevel(name string) (Level, bool) {
+	for i, known := range Levels {
+		if name == known {
+			return Level(i), true
+		}
+	}
+	return Info, false
+}
+
+var threshold atomic.Int32 // holds a Level
+
+func init() { threshold.Store(int32(Info)) }
+
+// Setup sets the lowest level that is written, and the output; with nil the
+// output is standard error.
+func Setup(level Level, output io.Writer) {
+	threshold.Store(int32(level))
+	klog.LogToStderr(output == nil)
+	if output == nil {
+		return
+	}
+	// Without these flags klog writes an event once for each lower severity,
+	// and errors to standard error as well.
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for name, value := range map[string]string{"one_output": "true", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			panic(err) // the flags are constants
+		}
+	}
+	klog.SetOutput(output)
+}
+
+// Flush writes out buffered lines. Call it before the process ends.
+func Flush() { klog.Flush() }
+
+// Enabled reports whether events of the level are written.
+func Enabled(level Level) bool { return int32(level) >= threshold.Load() }
+
+// Event writes an event at level info. The pairs are names and values in turn.
+func Event(component, event string, pairs ...any) { write(Info, component, event, pairs) }
+
+// DebugEvent writes an event at level debug.
+func DebugEvent(component, event string, pairs ...any) { write(Debug, component, event, pairs) }
+
+// WarningEvent writes an event that needs an operator's attention if it goes on.
+func WarningEvent(component, event string, pairs ...any) { write(Warning, component, event, pairs) }
+
+// ErrorEvent writes an event that needs an operator's attention.
+func ErrorEvent(component, event string, err error, pairs ...any) {
+	write(Error, component, event, append([]any{"error", err}, pairs...))
+}
+
+// callerDepth skips write and the exported function, so that the line names
+// the place of the event.
+const callerDepth = 2
+
+func write(level Level, component, event string, pairs []any) {
+	if !Enabled(level) {
+		return
+	}
+	line := format(component, event, pairs)
+	switch level {
+	case Warning:
+		klog.WarningDepth(callerDepth, line)
+	case Error:
+		klog.ErrorDepth(callerDepth, line)
+	default:
+		klog.InfoDepth(callerDepth, line)
+	}
+}
+
+// secretNames are the names whose values are not written: a key or a token in
+// a log lets everybody who reads the log act for a workspace.
+var secretNames = map[string]bool{"key": true, "authorization": true, "secret": true, "token": true, "request_token": true, "ticket": true}
+
+const redacted = "(redacted)"
+
+// format returns the line. Values are quoted if they hold a space, a quote, an
+// equals sign or a character that is not printable.
+func format(component, event string, pairs []any) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "component=%s event=%s", quote(component), quote(event))
+	for i := 0; i < len(pairs); i += 2 {
+		name := fmt.Sprint(pairs[i])
+		value := "(missing)"
+		if i+1 < len(pairs) {
+			value = text(pairs[i+1])
+		}
+		if secretNames[strings.ToLower(name)] {
+			value = redacted
+		}
+		fmt.Fprintf(&b, " %s=%s", quote(name), quote(value))
+	}
+	return b.String()
+}
+
+// text returns a value as a string. Headers and other maps could hold a key
+// and are not written.
+func text(value any) string {
+	switch v := value.(type) {
+	case string:
+		return v
+	case error, fmt.Stringer:
+		return fmt.Sprint(v)
+	case map[string][]string, map[string]string, interface{ Values(string) []string }:
+		return redacted
+	case []byte:
+		return fmt.Sprintf("(%d bytes)", len(v))
+	}
+	return fmt.Sprintf("%+v", value)
+}
+
+func quote(s string) string {
+	for _, r := range s {
+		if r <= ' ' || r == '"' || r == '=' || r == 0x7f || r == '\u2028' || r == '\u2029' {
+			return fmt.Sprintf("%q", s)
+		}
+	}
+	if s == "" {
+		return `""`
+	}
+	return s
+}
--- /dev/null
+++ b/internal/process/logging/logging_suite_test.go
@@ -0,0 +1,42 @@
+package logging
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLogging(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "logging")
+}
+
+var _ = Describe("events", func() {
+	// Guards against events over several lines, which a value could forge, and
+	// against secrets in the log.
+	DescribeTable("are one line of pairs", func(want string, pairs ...any) {
+		Expect(format("reader", "accepted", pairs)).To(Equal("component=reader event=accepted" + want))
+	},
+		Entry("values", " version=7 note=\"a b\" empty=\"\"", "version", 7, "note", "a b", "empty", ""),
+		Entry("line breaks", ` error="a\nb"`, "error", errors.New("a\nb")),
+		Entry("forged pairs", ` name="a=b"`, "name", "a=b"),
+		Entry("secrets", " key=(redacted) Authorization=(redacted)", "key", "k1", "Authorization", "Bearer k1"),
+		Entry("headers", " header=(redacted)", "header", http.Header{"Authorization": {"Bearer k1"}}),
+		Entry("bodies", " body=\"(3 bytes)\"", "body", []byte("abc")),
+		Entry("an odd number of pairs", " version=(missing)", "version"))
+
+	It("are written from the level on, with the place of the call", func() {
+		var out bytes.Buffer
+		Setup(Warning, &out)
+		DeferCleanup(func() { Setup(Info, nil) })
+		Event("c", "quiet")
+		WarningEvent("c", "loud", "n", 1)
+		ErrorEvent("c", "failed", errors.New("x"))
+		Flush()
+		Expect(out.String()).To(MatchRegexp(`^W.* logging_suite_test\.go:\d+\] component=c event=loud n=1\nE.* logging_suite_test\.go:\d+\] component=c event=failed error=x\n$`))
+	})
+})
--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,381 @@
+// Package settings reads and checks the INI settings of the programs. Each
+// setting is declared once, with its type, default, bounds and meaning.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// Reason is the kind of a fault in the settings.
+type Reason string
+
+// The kinds of faults.
+const (
+	ReasonFile           Reason = "unreadable-file"
+	ReasonSyntax         Reason = "syntax"
+	ReasonUnknownSection Reason = "unknown-section"
+	ReasonUnknownKey     Reason = "unknown-key"
+	ReasonDuplicate      Reason = "duplicate"
+	ReasonMissing        Reason = "missing"
+	ReasonBadValue       Reason = "bad-value"
+)
+
+// Error is one fault of the settings.
+type Error struct {
+	Reason  Reason
+	File    string // or "environment variable NAME"
+	Section string
+	Key     string
+	Value   string
+	Remedy  string
+}
+
+// Error names file, section, key, value and remedy in one line.
+func (e *Error) Error() string {
+	text := e.File
+	if e.Section != "" {
+		text += ", section [" + e.Section + "]"
+	}
+	if e.Key != "" {
+		text += ", key " + e.Key
+	}
+	text += ": " + string(e.Reason)
+	if e.Value != "" {
+		text += " " + strconv.Quote(e.Value)
+	}
+	return text + "; remedy: " + e.Remedy
+}
+
+// Errors are all faults found.
+type Errors []*Error
+
+// Error returns one line per fault.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fault := range e {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults for errors.As.
+func (e Errors) Unwrap() []error {
+	list := make([]error, len(e))
+	for i, fault := range e {
+		list[i] = fault
+	}
+	return list
+}
+
+// Setting declares one setting.
+type Setting struct {
+	Section string
+	Key     string
+	Type    string
+	// Default is the text that an absent setting stands for. If Required is
+	// set, there is none.
+	Default  string
+	Required bool
+	// Bounds describes the valid values; it completes "use ...".
+	Bounds string
+	// Help says what the setting does and what a larger or smaller value costs.
+	Help string
+
+	// set stores the value and reports whether it is valid.
+	set func(value string) bool
+}
+
+// Variable returns the environment variable that overrides the setting.
+func (s *Setting) Variable() string {
+	return variablePrefix + strings.ToUpper(s.Section+"_"+s.Key)
+}
+
+const variablePrefix = "TARRAGON_"
+
+// Set is the list of settings of one program, bound to a struct.
+type Set struct {
+	Settings []Setting
+	// check returns faults that concern more than one setting. It runs only
+	// if there are no others.
+	check func() []Error
+}
+
+// Load reads the file, if path is not empty, then the environment ("NAME=value"
+// items, as from os.Environ), checks everything and stores the values. The
+// error is of type Errors and holds all faults found.
+func (s *Set) Load(path string, environment []string) error {
+	l := loader{set: s, values: map[*Setting]value{}}
+	if path != "" {
+		l.file(path)
+	}
+	l.environment(environment)
+	l.store(path)
+	if len(l.faults) == 0 && s.check != nil {
+		for _, fault := range s.check() {
+			fault.File = sourceName(path)
+			l.faults = append(l.faults, &fault)
+		}
+	}
+	if len(l.faults) > 0 {
+		return l.faults
+	}
+	return nil
+}
+
+func (s *Set) find(section, key string) *Setting {
+	i := slices.IndexFunc(s.Settings, func(x Setting) bool { return x.Section == section && x.Key == key })
+	if i < 0 {
+		return nil
+	}
+	return &s.Settings[i]
+}
+
+// keys returns the keys of a section, or the names of all sections for "".
+func (s *Set) keys(section string) []string {
+	var list []string
+	for _, x := range s.Settings {
+		name := x.Key
+		if section == "" {
+			name = x.Section
+		} else if x.Section != section {
+			continue
+		}
+		if !slices.Contains(list, name) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+func sourceName(path string) string {
+	if path == "" {
+		return "settings"
+	}
+	return path
+}
+
+type value struct{ text, source string }
+
+type loader struct {
+	set    *Set
+	values map[*Setting]value
+	faults Errors
+}
+
+func (l *loader) fault(reason Reason, file, section, key, value, remedy string) {
+	l.faults = append(l.faults, &Error{Reason: reason, File: file, Section: section, Key: key, Value: value, Remedy: remedy})
+}
+
+func (l *loader) file(path string) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		l.fault(ReasonFile, path, "", "", err.Error(), "give the path of a readable INI file")
+		return
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:         true,
+		SpaceBeforeInlineComment:   true,
+		KeyValueDelimiters:         "=",
+		ChildSectionDelimiter:      "\x00", // no inheritance between sections
+		AllowNonUniqueSections:     true,   // duplicates are reported below
+		AllowShadows:               true,   // likewise for keys
+		AllowDuplicateShadowValues: true,
+		PreserveEmptyShadowValues:  true,
+	}, text)
+	if err != nil {
+		l.fault(ReasonSyntax, path, "", "", err.Error(), "correct the INI syntax: '[section]', then lines 'key = value'")
+		return
+	}
+	seen := map[string]bool{}
+	for i, section := range file.Sections() {
+		if i == 0 && len(section.Keys()) == 0 {
+			continue // the library's own unnamed section
+		}
+		l.section(path, section, seen)
+	}
+}
+
+func (l *loader) section(path string, section *ini.Section, seen map[string]bool) {
+	name := section.Name()
+	known := l.set.keys(name)
+	switch {
+	case len(known) == 0:
+		l.fault(ReasonUnknownSection, path, name, "", "", "use one of: "+strings.Join(l.set.keys(""), ", "))
+		return
+	case seen[name]:
+		l.fault(ReasonDuplicate, path, name, "", "", "join the sections of this name")
+	}
+	seen[name] = true
+	for _, key := range section.Keys() {
+		setting := l.set.find(name, key.Name())
+		if setting == nil {
+			l.fault(ReasonUnknownKey, path, name, key.Name(), key.Value(), "use one of: "+strings.Join(known, ", "))
+			continue
+		}
+		if len(key.ValueWithShadows()) > 1 {
+			l.fault(ReasonDuplicate, path, name, key.Name(), strings.Join(key.ValueWithShadows(), " | "), "keep one of the lines")
+		}
+		l.values[setting] = value{key.Value(), path}
+	}
+}
+
+// environment takes the overrides. A variable of a known section that names
+// no setting of any program is a fault, since it is probably misspelt.
+func (l *loader) environment(items []string) {
+	others := slices.Concat(daemonSet(&Daemon{}).Settings, controlSet(&Control{}).Settings)
+	for _, item := range items {
+		name, text, _ := strings.Cut(item, "=")
+		if !strings.HasPrefix(name, variablePrefix) {
+			continue
+		}
+		byName := func(x Setting) bool { return x.Variable() == name }
+		if i := slices.IndexFunc(l.set.Settings, byName); i >= 0 {
+			l.values[&l.set.Settings[i]] = value{text, "environment variable " + name}
+			continue
+		}
+		for _, section := range l.set.keys("") {
+			if strings.HasPrefix(name, variablePrefix+strings.ToUpper(section)+"_") && !slices.ContainsFunc(others, byName) {
+				l.fault(ReasonUnknownKey, "environment variable "+name, section, "", text, "use "+variablePrefix+strings.ToUpper(section)+"_ with one of: "+strings.Join(l.set.keys(section), ", "))
+			}
+		}
+	}
+}
+
+// store checks the values in the order of their declaration.
+func (l *loader) store(path string) {
+	for i := range l.set.Settings {
+		s := &l.set.Settings[i]
+		v, given := l.values[s]
+		switch {
+		case !given && s.Required:
+			l.fault(ReasonMissing, sourceName(path), s.Section, s.Key, "", "add '"+s.Key+" = ...' to section ["+s.Section+"] or set "+s.Variable()+"; use "+s.Bounds)
+		case !given:
+			if !s.set(s.Default) {
+				panic("default of " + s.Section + "." + s.Key + " is not valid") // a declaration is wrong
+			}
+		case !s.set(v.text):
+			l.fault(ReasonBadValue, v.source, s.Section, s.Key, v.text, "use "+s.Bounds)
+		}
+	}
+}
+
+// Reference returns the settings as a Markdown table.
+func (s *Set) Reference() string {
+	var b strings.Builder
+	b.WriteString("| section | key | type | default | values | meaning | environment |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, x := range s.Settings {
+		def := "`" + x.Default + "`"
+		switch {
+		case x.Required:
+			def = "required"
+		case x.Default == "":
+			def = "none"
+		}
+		fmt.Fprintf(&b, "| %s | `%s` | %s | %s | %s | %s | `%s` |\n", x.Section, x.Key, x.Type, def, x.Bounds, x.Help, x.Variable())
+	}
+	return b.String()
+}
+
+// name declares a required name.
+func name(section, key string, target *string, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "name", Required: true, Help: help,
+		Bounds: "1 to 64 characters of a-z, 0-9, '.', '_' and '-'",
+		set: func(text string) bool {
+			*target = text
+			return tables.ValidName(text)
+		}}
+}
+
+// address declares an IP address with a port; it is required if def is empty.
+// With concrete, an address that stands for all interfaces is not valid, since
+// other hosts are told to use it.
+func address(section, key string, target *netip.AddrPort, def string, concrete bool, help string) Setting {
+	bounds := "IP:port, such as 10.0.0.7:7420"
+	if concrete {
+		bounds += ", with an IP address that other hosts reach"
+	}
+	return Setting{Section: section, Key: key, Type: "address", Default: def, Required: def == "", Help: help, Bounds: bounds,
+		set: func(text string) (ok bool) {
+			*target, ok = parseAddress(text)
+			return ok && !(concrete && target.Addr().IsUnspecified())
+		}}
+}
+
+func parseAddress(text string) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(text)
+	return a, err == nil && a.Port() != 0
+}
+
+// addresses declares an optional list of addresses.
+func addresses(section, key string, target *[]netip.AddrPort, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "addresses", Help: help, Bounds: "a list IP:port, IP:port, ...",
+		set: func(text string) bool {
+			*target = nil
+			if text == "" {
+				return true
+			}
+			for _, item := range strings.Split(text, ",") {
+				a, ok := parseAddress(strings.TrimSpace(item))
+				if !ok {
+					return false
+				}
+				*target = append(*target, a)
+			}
+			return true
+		}}
+}
+
+func duration(section, key string, target *time.Duration, def string, low, high time.Duration, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "duration", Default: def, Help: help, Bounds: fmt.Sprintf("%s to %s", low, high),
+		set: func(text string) bool {
+			d, err := time.ParseDuration(text)
+			*target = d
+			return err == nil && d >= low && d <= high
+		}}
+}
+
+func integer(section, key string, target *int, def string, low, high int, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "whole number", Default: def, Help: help, Bounds: fmt.Sprintf("%d to %d", low, high),
+		set: func(text string) bool {
+			n, err := strconv.Atoi(text)
+			*target = n
+			return err == nil && n >= low && n <= high
+		}}
+}
+
+func choice(section, key string, target *string, def string, values []string, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "choice", Default: def, Help: help, Bounds: strings.Join(values, ", "),
+		set: func(text string) bool {
+			*target = text
+			return slices.Contains(values, text)
+		}}
+}
+
+// size declares a number of bytes.
+func size(section, key string, target *int, def string, high int, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "size", Default: def, Help: help, Bounds: fmt.Sprintf("1 to %d bytes, also with KiB or MiB", high),
+		set: func(text string) bool {
+			factor := 1
+			if rest, ok := strings.CutSuffix(text, "KiB"); ok {
+				text, factor = rest, 1<<10
+			} else if rest, ok := strings.CutSuffix(text, "MiB"); ok {
+				text, factor = rest, 1<<20
+			}
+			n, err := strconv.Atoi(strings.TrimSpace(text))
+			if err != nil || n < 1 || n > high/factor {
+				return false
+			}
+			*target = n * factor
+			return true
+		}}
+}
