--- a/internal/version/history/history_suite_test.go
+++ b/internal/version/history/history_suite_test.go
@@ -111,7 +111,11 @@
 
 func (w *world) observe() {
 	for int(w.oracle.Next()) < len(w.log.records) {
+		before := w.oracle.Next()
 		events := w.oracle.Apply(platform.Batch{Next: w.oracle.Next() + 1, Records: []platform.Record{{Offset: w.oracle.Next(), Data: w.log.records[w.oracle.Next()]}}}, w.now)
+		if w.oracle.Next() != before+1 {
+			panic("a reader that has all records leaves their order")
+		}
 		w.states[w.oracle.Next()] = [3]any{w.oracle.Version(), w.oracle.Tables().Digest(), fmt.Sprint(w.oracle.recent)}
 		for _, e := range events {
 			w.fates[w.oracle.Next()-1] = e
@@ -280,9 +284,12 @@
 			}
 			w.observe()
 			for _, r := range w.readers {
-				for !r.AtEnd() && !r.NeedsPeer() {
+				for range len(w.log.records) + 2 {
 					w.take(t, r, 9)
 				}
+				if !r.AtEnd() && !r.NeedsPeer() {
+					t.Fatalf("a reader does not reach the end; it reads from %d", r.ReadFrom())
+				}
 			}
 			for _, e := range w.editors {
 				w.settled(t, e.p)
