--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -1,62 +1,143 @@
-// Command tarragond is the daemon beside a backend server.
+// Command tarragond is the daemon of tarragonshore: the one small process
+// beside each backend server.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
-	"gopkg.in/ini.v1"
-	"k8s.io/klog/v2"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
 	"tarragonshore.example/tarragonshore/internal/connection/network"
-	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/process/daemon"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/process/platform"
+	"tarragonshore.example/tarragonshore/internal/process/settings"
+)
+
+// Exit codes.
+const (
+	exitStopped = 0
+	exitFailed  = 1
+	exitUsage   = 2
 )
 
 func main() {
-	klog.InitFlags(nil)
-	path := flag.String("config", "", "settings file")
-	flag.Parse()
-	f, err := ini.Load(*path)
-	if err != nil {
+	code := exitStopped
+	command := newCommand(&code)
+	if err := command.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
+		code = max(code, exitUsage)
 	}
-	_ = flag.Set("v", f.Section("log").Key("level").MustString("0"))
-	l := func(k string) netip.AddrPort { return netip.MustParseAddrPort(f.Section("listen").Key(k).String()) }
-	cfg := daemon.Config{
-		Name: f.Section("daemon").Key("name").String(), Zone: f.Section("daemon").Key("zone").String(),
-		Caller: l("caller"), Server: l("server"), Peer: l("peer"), Admin: l("admin"),
-		PollWait: time.Second, Retention: f.Section("platform").Key("retention").MustDuration(time.Hour),
-		Heartbeat: time.Second, Workers: 4,
-		RateGroups: uint32(f.Section("rates").Key("groups").MustUint(8)), LameDuck: 2 * time.Second,
-		StopTimeout: 30 * time.Second, Link: peer.DefaultConfig,
+	logging.Flush()
+	os.Exit(code)
+}
+
+// newCommand returns the command line. It sets code for a failed run.
+func newCommand(code *int) *cobra.Command {
+	var config string
+	var checkOnly, reference bool
+	command := &cobra.Command{
+		Use:   "tarragond",
+		Short: "Overload control beside a backend server",
+		Long: "tarragond receives callers' requests, decides whether and where they run, hands work to the\n" +
+			"backend server of its host and carries the calls that this server makes to other services.\n" +
+			"SIGTERM and SIGINT begin a graceful stop; a second one ends the process at once.",
+		Example:       "  tarragond --config /etc/tarragonshore/tarragond.ini\n  tarragond --config tarragond.ini --check-config\n  TARRAGON_LOG_LEVEL=debug tarragond --config tarragond.ini",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(*cobra.Command, []string) error {
+			if reference {
+				fmt.Print(settings.DaemonReference())
+				return nil
+			}
+			loaded, err := settings.LoadDaemon(config, os.Environ())
+			if err != nil {
+				return err
+			}
+			if checkOnly {
+				fmt.Println("settings are valid")
+				return nil
+			}
+			*code = run(loaded)
+			return nil
+		},
 	}
-	m, err := metrics.New()
-	if err != nil {
-		panic(err)
+	command.Flags().StringVar(&config, "config", "", "settings file (INI)")
+	command.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings and exit")
+	command.Flags().BoolVar(&reference, "settings-reference", false, "print the settings as a Markdown table and exit")
+	return command
+}
+
+// run runs the daemon until a signal and returns the exit code.
+func run(loaded *settings.Daemon) int {
+	level, _ := logging.ParseLevel(loaded.Log.Level)
+	logging.Setup(level, nil)
+	app := fx.New(
+		fx.Supply(loaded),
+		fx.Provide(metrics.New, newLog, newServer, newDaemon),
+		fx.Invoke(register),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(loaded.Timing.StopTimeout+loaded.Timing.LameDuck),
+	)
+	if err := app.Err(); err != nil {
+		logging.ErrorEvent("daemon", "composition-failed", err)
+		return exitFailed
 	}
-	d := daemon.New(cfg, daemon.Surroundings{Network: network.System{}, Log: platform.NewClient(f.Section("platform").Key("address").String(), 5*time.Second), Server: backend.NewClient(256, 4<<20), Metrics: m})
-	if err := d.Start(context.Background()); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(start); err != nil {
+		logging.ErrorEvent("daemon", "start-failed", err)
+		return exitFailed
 	}
-	c := make(chan os.Signal, 2)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
-	<-c
-	ctx, cancel := context.WithTimeout(context.Background(), cfg.StopTimeout)
+	<-signals
+	go func() {
+		<-signals
+		logging.Flush()
+		os.Exit(exitFailed)
+	}()
+	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
-	go func() { <-c; os.Exit(1) }()
-	if err := d.Stop(ctx); err != nil {
-		os.Exit(1)
+	if err := app.Stop(stop); err != nil {
+		logging.ErrorEvent("daemon", "stop-incomplete", err)
+		return exitFailed
 	}
+	return exitStopped
+}
+
+func newLog(s *settings.Daemon) platform.Log {
+	return platform.NewClient(s.Platform.Address.String(), platform.DefaultRequestTimeout)
+}
+
+func newServer(s *settings.Daemon) backend.Server {
+	return backend.NewClient(s.Backend.Connections, int64(s.Limits.MaxBody))
+}
+
+func newDaemon(s *settings.Daemon, log platform.Log, server backend.Server, m *metrics.Metrics) *daemon.Daemon {
+	return daemon.New(daemon.ConfigOf(s), daemon.Surroundings{
+		Network: network.System{},
+		Log:     log,
+		Server:  server,
+		Metrics: m,
+	})
+}
+
+// register ties the daemon and the metrics to the life of the process.
+func register(life fx.Lifecycle, d *daemon.Daemon, m *metrics.Metrics) {
+	life.Append(fx.Hook{OnStop: m.Shutdown})
+	life.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error { return eris.Wrap(d.Start(ctx), "start the daemon") },
+		OnStop:  func(ctx context.Context) error { return eris.Wrap(d.Stop(ctx), "stop the daemon") },
+	})
 }
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -108,6 +108,24 @@
 	return wire.Decode(frame)
 }
 
+// greet exchanges Hellos and returns the peer's identity.
+func (l *link) greet(ctx context.Context) (Identity, error) {
+	self := l.hub.self
+	hello := wire.Hello{Member: self.Member, Incarnation: self.Incarnation, Zone: self.Zone}
+	if err := l.write(ctx, hello); err != nil {
+		return Identity{}, err
+	}
+	m, err := l.read(ctx)
+	if err != nil {
+		return Identity{}, err
+	}
+	other, ok := m.(*wire.Hello)
+	if !ok {
+		return Identity{}, &wire.DecodeError{Reason: "the first message is not a Hello"}
+	}
+	return Identity{Member: other.Member, Incarnation: other.Incarnation, Zone: other.Zone}, nil
+}
+
 // readLoop hands on messages until the link ends and returns the reason.
 func (l *link) readLoop() string {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -160,6 +160,19 @@
 		h.mu.Unlock()
 		return l, nil
 	}
+	h.mu.Unlock()
+	return h.Refresh(ctx, member, address)
+}
+
+// Refresh dials a link to a member even if there is one, which may have gone
+// silent. The new link becomes the current one. Concurrent calls for the same
+// member share one dial.
+func (h *Hub) Refresh(ctx context.Context, member, address string) (Link, error) {
+	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		return nil, ErrClosed
+	}
 	key := member + "@" + address
 	d, ok := h.dials[key]
 	if !ok {
@@ -180,6 +193,20 @@
 	}
 }
 
+// Probe connects to an address and returns who answers there. It opens no link.
+// The error wraps syscall.ECONNREFUSED if nothing listens at the address.
+func (h *Hub) Probe(ctx context.Context, address string) (Identity, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.DialTimeout)
+	defer cancel()
+	conn, err := h.dial(ctx, address)
+	if err != nil {
+		return Identity{}, err
+	}
+	defer func() { _ = conn.CloseNow() }()
+	l := &link{hub: h, conn: conn}
+	return l.greet(ctx)
+}
+
 // Links returns the number of open links.
 func (h *Hub) Links() int {
 	h.mu.Lock()
@@ -264,16 +291,10 @@
 func (h *Hub) connect(member, address string) (*link, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, h.cfg.DialTimeout)
 	defer cancel()
-	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
-		CompressionMode: websocket.CompressionDisabled,
-		HTTPClient:      h.client,
-	})
+	conn, err := h.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s at %s: %w", member, address, err)
 	}
-	if response.Body != nil {
-		_ = response.Body.Close()
-	}
 	l, err := h.open(ctx, conn, member)
 	if err != nil {
 		_ = conn.CloseNow()
@@ -282,28 +303,35 @@
 	return l, nil
 }
 
+// dial opens a WebSocket connection.
+func (h *Hub) dial(ctx context.Context, address string) (*websocket.Conn, error) {
+	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+		CompressionMode: websocket.CompressionDisabled,
+		HTTPClient:      h.client,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if response.Body != nil {
+		_ = response.Body.Close()
+	}
+	conn.SetReadLimit(wire.MaxFrameBytes)
+	return conn, nil
+}
+
 // open exchanges Hellos and registers the link. An empty want accepts any member.
 func (h *Hub) open(ctx context.Context, conn *websocket.Conn, want string) (*link, error) {
 	conn.SetReadLimit(wire.MaxFrameBytes)
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.DialTimeout)
 	defer cancel()
 	l := &link{hub: h, conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{})}
-	hello := wire.Hello{Member: h.self.Member, Incarnation: h.self.Incarnation, Zone: h.self.Zone}
-	if err := l.write(ctx, hello); err != nil {
+	var err error
+	if l.peer, err = l.greet(ctx); err != nil {
 		return nil, err
 	}
-	m, err := l.read(ctx)
-	if err != nil {
-		return nil, err
-	}
-	peerHello, ok := m.(*wire.Hello)
-	if !ok {
-		return nil, &wire.DecodeError{Reason: "the first message is not a Hello"}
-	}
-	if want != "" && peerHello.Member != want {
+	if want != "" && l.peer.Member != want {
 		return nil, ErrWrongMember
 	}
-	l.peer = Identity{Member: peerHello.Member, Incarnation: peerHello.Incarnation, Zone: peerHello.Zone}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
--- /dev/null
+++ b/internal/process/daemon/config.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"net/netip"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/process/settings"
+)
+
+// Config holds the settings of a daemon. package settings says what a larger
+// or smaller value of each costs.
+type Config struct {
+	Name   string
+	Zone   string
+	Region string
+	Caller netip.AddrPort
+	Server netip.AddrPort
+	Peer   netip.AddrPort
+	Admin  netip.AddrPort
+	// PollWait is the longest wait of a read of the log.
+	PollWait time.Duration
+	// Retention is how long the platform keeps records.
+	Retention time.Duration
+	// Heartbeat is how often the backend server announces itself.
+	Heartbeat time.Duration
+	// MaxInFlight bounds the requests of callers that are here at a time.
+	MaxInFlight int
+	Workers     int
+	RateGroups  uint32
+	// LameDuck is how long a stopping daemon still accepts callers' requests.
+	LameDuck time.Duration
+	Link     peer.Config
+}
+
+// ConfigOf returns the configuration for loaded settings.
+func ConfigOf(s *settings.Daemon) Config {
+	link := peer.DefaultConfig
+	link.PingInterval = s.Timing.LinkPing
+	link.Silence = s.Timing.LinkSilence
+	return Config{
+		Name:        s.Name,
+		Zone:        s.Zone,
+		Region:      s.Region,
+		Caller:      s.Listen.Caller,
+		Server:      s.Listen.Server,
+		Peer:        s.Listen.Peer,
+		Admin:       s.Listen.Admin,
+		PollWait:    s.Platform.PollWait,
+		Retention:   s.Platform.Retention,
+		Heartbeat:   s.Backend.HeartbeatInterval,
+		MaxInFlight: s.Limits.MaxInFlight,
+		Workers:     s.Limits.Workers,
+		RateGroups:  uint32(s.Rates.Groups),
+		LameDuck:    s.Timing.LameDuck,
+		Link:        link,
+	}
+}
--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -78,7 +78,7 @@
 func (c *configuration) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := c.readOnce(ctx); err != nil && ctx.Err() == nil {
-			logging.Event(1, "tables-read-failed", "error", err.Error())
+			logging.Event("tables", "tables-read-failed", "error", err.Error())
 			pause(ctx, readErrorDelay)
 		}
 		c.catchUp(ctx)
@@ -116,17 +116,17 @@
 	for _, event := range events {
 		switch e := event.(type) {
 		case history.Accepted:
-			logging.Event(0, "edit-accepted", "version", e.Version, "offset", e.Offset, "id", e.ID, "author", e.Author, "rows", len(e.Changes))
+			logging.Event("tables", "edit-accepted", "version", e.Version, "offset", e.Offset, "id", e.ID, "author", e.Author, "rows", len(e.Changes))
 		case history.Rejected:
-			logging.Event(0, "edit-rejected", "offset", e.Offset, "id", e.ID, "reason", string(e.Reason), "base", e.Base, "current", e.Current)
+			logging.Event("tables", "edit-rejected", "offset", e.Offset, "id", e.ID, "reason", string(e.Reason), "base", e.Base, "current", e.Current)
 		case history.SnapshotAdopted:
-			logging.Event(0, "snapshot-adopted", "version", e.Version, "as_of", e.AsOf, "from_peer", e.FromPeer)
+			logging.Event("tables", "snapshot-adopted", "version", e.Version, "as_of", e.AsOf, "from_peer", e.FromPeer)
 		case history.SnapshotIgnored:
-			logging.Event(1, "snapshot-ignored", "version", e.Version, "as_of", e.AsOf, "reason", string(e.Reason))
+			logging.Event("tables", "snapshot-ignored", "version", e.Version, "as_of", e.AsOf, "reason", string(e.Reason))
 		case history.Malformed:
-			logging.Event(0, "record-malformed", "offset", e.Offset, "error", e.Err.Error())
+			logging.Event("tables", "record-malformed", "offset", e.Offset, "error", e.Err.Error())
 		case history.Gap:
-			logging.Event(0, "tables-gap", "next", e.Next, "first", e.First)
+			logging.Event("tables", "tables-gap", "next", e.Next, "first", e.First)
 		}
 	}
 }
@@ -143,7 +143,7 @@
 	c.mu.Unlock()
 	c.members.service.SetStatus(status)
 	if changed {
-		logging.Event(0, "version-in-force", "version", next.Version, "digest", next.Tables.Digest())
+		logging.Event("tables", "version-in-force", "version", next.Version, "digest", next.Tables.Digest())
 		c.onChange(next)
 	}
 }
@@ -202,7 +202,7 @@
 	previous := c.decision.State
 	c.decision, c.decidedAt = freshness.Decide(in), now
 	if c.decision.State != previous {
-		logging.Event(0, "freshness", "state", c.decision.State, "reason", string(c.decision.Reason), "from", c.decision.From)
+		logging.Event("tables", "freshness", "state", c.decision.State, "reason", string(c.decision.Reason), "from", c.decision.From)
 	}
 	return c.decision
 }
@@ -283,7 +283,7 @@
 	}
 	snapshot, err := history.DecodeSnapshot(m.Snapshot)
 	if err != nil {
-		logging.Event(0, "snapshot-malformed", "error", err.Error())
+		logging.Event("tables", "snapshot-malformed", "error", err.Error())
 		return
 	}
 	c.mu.Lock()
@@ -306,7 +306,7 @@
 			continue
 		}
 		offset, err := c.log.Append(ctx, platform.StreamTables, record)
-		logging.Event(0, "snapshot-appended", "offset", offset, "bytes", len(record), "error", errorText(err))
+		logging.Event("tables", "snapshot-appended", "offset", offset, "bytes", len(record), "error", errorText(err))
 	}
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -41,32 +41,6 @@
 	seedTimeout  = 2 * time.Second
 )
 
-// Config holds the settings of a daemon.
-type Config struct {
-	Name   string
-	Zone   string
-	Region string
-	Caller netip.AddrPort
-	Server netip.AddrPort
-	Peer   netip.AddrPort
-	Admin  netip.AddrPort
-	// PollWait is the longest wait of a read of the log. Shorter ones cost more
-	// reads, longer ones make the tables look older.
-	PollWait time.Duration
-	// Retention is how long the platform keeps records.
-	Retention time.Duration
-	// Heartbeat is how often the backend server announces itself.
-	Heartbeat  time.Duration
-	Workers    int
-	RateGroups uint32
-	// LameDuck is how long a stopping daemon still accepts callers' requests,
-	// so that callers learn of the stop by their answers.
-	LameDuck time.Duration
-	// StopTimeout bounds a planned stop.
-	StopTimeout time.Duration
-	Link        peer.Config
-}
-
 // Daemon is one run of tarragond.
 type Daemon struct {
 	cfg     Config
@@ -133,7 +107,7 @@
 	d.cancel = cancel
 	d.serve()
 	d.background(run)
-	logging.Event(0, "started", "member", d.self.Member, "incarnation", d.self.Incarnation,
+	logging.Event("daemon", "started", "member", d.self.Member, "incarnation", d.self.Incarnation,
 		"zone", d.cfg.Zone, "caller", d.cfg.Caller, "peer", d.cfg.Peer)
 	return nil
 }
@@ -164,7 +138,7 @@
 func (d *Daemon) compose(ctx context.Context) error {
 	seed, err := d.readSeed(ctx)
 	if err != nil {
-		logging.Event(0, "members-seed-incomplete", "error", err.Error())
+		logging.Event("daemon", "members-seed-incomplete", "error", err.Error())
 	}
 	d.seed = seed
 	incarnation := transport.ChooseIncarnation(time.Now(), seed.Highest)
@@ -176,20 +150,23 @@
 	d.members = &members{self: d.cfg.Name, service: service}
 	d.announcer = &transport.Announcer{
 		Log: d.log, Clock: transport.SystemClock{}, Service: service, Rand: newRand(),
-		OnError: func(err error) { logging.Event(1, "announcement-failed", "error", err.Error()) },
+		OnError: func(err error) { logging.Event("daemon", "announcement-failed", "error", err.Error()) },
 	}
-	holder := ratelimit.HolderID{Member: d.self.Member, Incarnation: d.self.Incarnation}
 	d.configuration = newConfiguration(d.log, d.members, d.cfg.PollWait, d.cfg.Retention, newRand())
 	d.server = newServerState(d.cfg.Heartbeat)
 	d.dispatcher = newDispatcher(d.self, d.cfg.Zone, d.members, d.metrics, newRand())
 	d.executor = newExecutor(d.self, d.configuration, d.server, d.client, d.metrics)
-	d.groups = newGroups(holder, d.members, d.cfg.RateGroups)
+	d.groups = newGroups(ratelimit.Member{
+		ID:   ratelimit.DaemonID{Member: d.self.Member, Incarnation: d.self.Incarnation},
+		Zone: d.cfg.Zone, Address: d.cfg.Peer.String(),
+	}, d.members, d.log, d.cfg, newRand())
 	d.rates = newRates(d.self, d.members, d.groups, d.cfg.RateGroups, newRand())
 	d.tickets, err = newTickets(ticket.Owner{Home: d.self.Member, Incarnation: d.self.Incarnation}, d.members, d.rates, d.dispatcher)
 	if err != nil {
 		return err
 	}
 	d.handover = newHandover(d.members, d.tickets, d.groups)
+	d.groups.handover = d.handover
 	d.pool = workers.NewPool(d.cfg.Workers)
 	d.hub = peer.NewHub(peer.Identity{Member: d.self.Member, Incarnation: d.self.Incarnation, Zone: d.cfg.Zone}, d.cfg.Link, &links{
 		pool: d.pool, metrics: d.metrics, configuration: d.configuration, dispatcher: d.dispatcher,
@@ -267,6 +244,7 @@
 	entry := &entry{
 		configuration: d.configuration, rates: d.rates, tickets: d.tickets,
 		dispatcher: d.dispatcher, metrics: d.metrics, leaving: d.leaving.Load,
+		slots: make(chan struct{}, d.cfg.MaxInFlight),
 	}
 	port := &serverPort{configuration: d.configuration, server: d.server, executor: d.executor, dispatcher: d.dispatcher}
 	peers := http.NewServeMux()
@@ -282,7 +260,7 @@
 		listener := d.listeners[name]
 		d.wg.Go(func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				logging.Event(0, "listener-failed", "port", name, "error", err.Error())
+				logging.Event("daemon", "listener-failed", "port", name, "error", err.Error())
 			}
 		})
 	}
@@ -298,6 +276,8 @@
 		d.dispatcher.sweep,
 		d.executor.sweep,
 		d.rates.run,
+		d.groups.follow,
+		d.groups.tick,
 		d.watchView,
 		d.tick,
 	} {
@@ -331,20 +311,21 @@
 func (d *Daemon) onMembership(action membership.Action) {
 	switch a := action.(type) {
 	case membership.MemberUp:
-		logging.Event(0, "member-up", "member", a.Member.Name, "incarnation", a.Member.Incarnation, "zone", a.Member.Zone, "reason", string(a.Reason))
+		logging.Event("daemon", "member-up", "member", a.Member.Name, "incarnation", a.Member.Incarnation, "zone", a.Member.Zone, "reason", string(a.Reason))
 	case membership.MemberDown:
-		logging.Event(0, "member-down", "member", a.Member.Name, "incarnation", a.Member.Incarnation, "reason", string(a.Reason))
+		logging.Event("daemon", "member-down", "member", a.Member.Name, "incarnation", a.Member.Incarnation, "reason", string(a.Reason))
 		gone := execution.Peer{Member: a.Member.Name, Incarnation: a.Member.Incarnation}
 		d.dispatcher.onMemberGone(gone)
 		if a.Reason == membership.ReasonReplaced {
 			d.executor.askerGone(gone)
+			d.groups.died(ratelimit.DaemonID{Member: a.Member.Name, Incarnation: a.Member.Incarnation})
 		}
 	case membership.MemberLeft:
-		logging.Event(0, "member-left", "member", a.Member.Name, "incarnation", a.Member.Incarnation)
+		logging.Event("daemon", "member-left", "member", a.Member.Name, "incarnation", a.Member.Incarnation)
 	case membership.MemberChanged:
-		logging.Event(2, "member-changed", "member", a.Member.Name, "reason", string(a.Reason))
+		logging.DebugEvent("daemon", "member-changed", "member", a.Member.Name, "reason", string(a.Reason))
 	case membership.Superseded:
-		logging.Event(0, "superseded", "incarnation", a.Incarnation)
+		logging.Event("daemon", "superseded", "incarnation", a.Incarnation)
 	}
 	d.noteView()
 }
--- a/internal/process/daemon/dispatcher.go
+++ b/internal/process/daemon/dispatcher.go
@@ -52,8 +52,7 @@
 
 // waiter is what waits for an attempt or a forwarded request.
 type waiter struct {
-	done    chan answered // buffered
-	forward *wire.Forward // to send again after a lost link
+	done chan answered // buffered
 }
 
 // poolState is what the dispatcher keeps for a pool.
@@ -176,7 +175,7 @@
 	if end.answer != nil {
 		queueMS, serviceMS = end.answer.QueueMS, end.answer.ServiceMS
 	}
-	logging.Event(1, "attempt-ended", "request", c.id, "number", number, "upstream", upstream,
+	logging.Event("dispatcher", "attempt-ended", "request", c.id, "number", number, "upstream", upstream,
 		"status", end.status(), "refusal", end.kind(), "end", string(end.reason), "queue_ms", queueMS,
 		"service_ms", serviceMS, "action", decision.Action.String(), "reason", string(decision.Reason))
 }
@@ -223,7 +222,7 @@
 		Exclude:    excluded,
 	})
 	d.mu.Unlock()
-	logging.Event(1, "route", "request", c.id, "route", c.route.Name, "pool", c.route.Pool,
+	logging.Event("dispatcher", "route", "request", c.id, "route", c.route.Name, "pool", c.route.Pool,
 		"workspace", c.context.Workspace, "importance", c.context.Importance, "depth", c.context.Depth,
 		"upstream", choice.ID, "reason", string(choice.Reason))
 	if !ok {
@@ -309,8 +308,8 @@
 	if err != nil {
 		return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, "the ticket's home "+member+" does not answer: "+err.Error())}
 	}
-	w := &waiter{done: make(chan answered, 1), forward: message}
-	sent := execution.Sent{ID: message.ID, Peer: peerOf(link), Link: link.Number(), Deadline: deadline, Forward: true}
+	w := &waiter{done: make(chan answered, 1)}
+	sent := execution.Sent{ID: message.ID, Peer: peerOf(link), Link: link.Number(), Deadline: deadline}
 	if refusal := d.register(sent, w); refusal != nil {
 		return answered{refusal: refusal}
 	}
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -28,6 +28,8 @@
 	metrics       *metrics.Metrics
 	// leaving reports whether a planned stop has begun.
 	leaving func() bool
+	// slots bounds the requests that are here at a time.
+	slots chan struct{}
 }
 
 // handler returns the routes of the caller port.
@@ -57,7 +59,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &received{id: requestID(r), begun: time.Now(), tables: e.configuration.current()}
-	response, refusal := e.answer(w, r, q)
+	var response *wire.Response
+	var refusal *problem.Problem
+	select {
+	case e.slots <- struct{}{}:
+		response, refusal = e.answer(w, r, q)
+		<-e.slots
+	default:
+		refusal = problem.New(problem.KindOverloaded, "this daemon has max_inflight requests").WithRetryAfter(time.Second)
+		refusal = unlessRepeated(r, q, refusal)
+	}
 	outcome := "answered"
 	if refusal != nil {
 		outcome = string(refusal.Kind)
@@ -80,7 +91,7 @@
 	if refusal != nil {
 		detail = refusal.Detail
 	}
-	logging.Event(1, "request", "request", q.id, "route", route, "workspace", q.workspace,
+	logging.Event("entry", "request", "request", q.id, "route", route, "workspace", q.workspace,
 		"version", q.tables.Version, "outcome", outcome, "detail", detail, "took_ms", took.Milliseconds())
 }
 
@@ -108,7 +119,7 @@
 // asked. A request with a ticket may be the repeat of one that ran, so that
 // "not executed" would not be proven.
 func unlessRepeated(r *http.Request, q *received, refusal *problem.Problem) *problem.Problem {
-	if q.route != nil && !q.route.Idempotent && r.Header.Get(caller.HeaderIdempotencyKey) != "" {
+	if (q.route == nil || !q.route.Idempotent) && r.Header.Get(caller.HeaderIdempotencyKey) != "" {
 		refusal.Executed = problem.ExecutedUnknown
 	}
 	return refusal
--- a/internal/process/daemon/executor.go
+++ b/internal/process/daemon/executor.go
@@ -108,6 +108,38 @@
 	e.carryOut(&fx)
 }
 
+// handleForward takes a request that was forwarded to its ticket's home. It is
+// settled like an attempt, but does not wait for the backend server.
+func (e *executor) handleForward(asker execution.Peer, m *wire.Forward, run func() *wire.Answer) {
+	now := time.Now()
+	e.mu.Lock()
+	offered := e.attempts.Offer(now, m.ID, asker, m.Context.Remaining())
+	started := false
+	if offered.Outcome == execution.OfferNew {
+		started, _ = e.attempts.Start(now, m.ID)
+	}
+	e.mu.Unlock()
+	switch {
+	case started:
+		go e.forward(m.ID, run)
+	case offered.Answer != nil:
+		e.deliver(asker, offered.Answer)
+	case offered.Refusal != nil:
+		e.deliver(asker, &wire.Answer{ID: m.ID, Refusal: refusalMessage(offered.Refusal), Credits: m.Context.Credits})
+	}
+}
+
+// forward runs a forwarded request and sends its answer.
+func (e *executor) forward(id wire.AttemptID, run func() *wire.Answer) {
+	answer := run()
+	e.mu.Lock()
+	finished := e.attempts.Finish(id, answer)
+	e.mu.Unlock()
+	if finished.Send {
+		e.deliver(finished.Asker, answer)
+	}
+}
+
 // admit checks a new attempt and offers it to the admission controller.
 func (e *executor) admit(now time.Time, asker execution.Peer, attempt *wire.Attempt, fx *effects) {
 	run := &execRun{attempt: attempt, asker: asker, arrived: now, deadline: now.Add(attempt.Context.Remaining())}
@@ -123,7 +155,7 @@
 		Depth:      attempt.Context.Depth,
 		Deadline:   run.deadline,
 	})
-	logging.Event(1, "admission", "attempt", attemptName(attempt.ID), "server", attempt.Server,
+	logging.Event("executor", "admission", "attempt", attemptName(attempt.ID), "server", attempt.Server,
 		"workspace", attempt.Context.Workspace, "importance", attempt.Context.Importance,
 		"depth", attempt.Context.Depth, "reason", string(decision.Reason))
 	if decision.HasDisplaced {
@@ -347,7 +379,7 @@
 		delete(e.runs, id)
 	}
 	e.mu.Unlock()
-	logging.Event(1, "settle", "attempt", attemptName(id), "asker", asker.Member, "reason", string(settled.Reason))
+	logging.Event("executor", "settle", "attempt", attemptName(id), "asker", asker.Member, "reason", string(settled.Reason))
 	_ = link.Send(wire.SettleResult{ID: id, State: settled.State})
 	if settled.Answer != nil {
 		_ = link.Send(settled.Answer)
--- a/internal/process/daemon/fleet_test.go
+++ b/internal/process/daemon/fleet_test.go
@@ -151,8 +151,8 @@
 		Name: h.name, Zone: fmt.Sprintf("zone-%d", h.address.As4()[3]%2),
 		Caller: netip.AddrPortFrom(h.address, callerPort), Server: netip.AddrPortFrom(h.address, serverPortNumber),
 		Peer: netip.AddrPortFrom(h.address, peerPort), Admin: netip.AddrPortFrom(h.address, adminPort),
-		PollWait: time.Second, Retention: time.Hour, Heartbeat: time.Second, Workers: 2, RateGroups: 4,
-		LameDuck: 2 * time.Second, StopTimeout: 30 * time.Second, Link: link,
+		PollWait: time.Second, Retention: 24 * time.Hour, Heartbeat: time.Second, Workers: 2, RateGroups: 4,
+		MaxInFlight: 1000, LameDuck: 2 * time.Second, Link: link,
 	}, Surroundings{Network: h.fleet.net.host(h.address), Log: h.fleet.log, Server: h.server})
 	if err := daemon.Start(context.Background()); err != nil {
 		h.fleet.t.Fatal(err)
--- a/internal/process/daemon/groups.go
+++ b/internal/process/daemon/groups.go
@@ -1,69 +1,317 @@
 package daemon
 
 import (
+	"context"
+	"errors"
+	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/platform"
 	"tarragonshore.example/tarragonshore/internal/process/ratelimit"
 	"tarragonshore.example/tarragonshore/internal/version/tables"
 )
 
-// groups is this daemon as a keeper of rate groups. Its lock guards keepers and
-// workspaces.
+// Times of keeping rate groups.
+const (
+	claimAppendTimeout = 5 * time.Second
+	deathProbeTimeout  = time.Second
+	giveUpTimeout      = 10 * time.Second
+)
+
+// groups is this daemon as a keeper of rate groups. Its lock guards claims,
+// keepers, received and workspaces.
 type groups struct {
-	self    ratelimit.HolderID
-	members *members
-	count   uint32
+	self     ratelimit.DaemonID
+	members  *members
+	log      platform.Log
+	handover *handover
+	count    uint32
+	pollWait time.Duration
 
-	mu         sync.Mutex
-	keepers    map[uint32]*ratelimit.Keeper
+	mu      sync.Mutex
+	claims  *ratelimit.Claims
+	keepers map[uint32]*ratelimit.Keeper
+	// received holds the states that stopping keepers handed over, until their
+	// claims are in the log.
+	received   map[uint32][]byte
 	workspaces []tables.Workspace
 }
 
-func newGroups(self ratelimit.HolderID, members *members, count uint32) *groups {
-	return &groups{self: self, members: members, count: count, keepers: make(map[uint32]*ratelimit.Keeper)}
+func newGroups(self ratelimit.Member, members *members, log platform.Log, cfg Config, rng *rand.Rand) *groups {
+	return &groups{
+		self:     self.ID,
+		members:  members,
+		log:      log,
+		count:    cfg.RateGroups,
+		pollWait: cfg.PollWait,
+		claims:   ratelimit.NewClaims(self, cfg.RateGroups, cfg.Retention, rng),
+		keepers:  make(map[uint32]*ratelimit.Keeper),
+		received: make(map[uint32][]byte),
+	}
 }
 
 // keeperOf returns the keeper of a group.
-func (g *groups) keeperOf(uint32) (ratelimit.HolderID, bool) {
-	view := g.members.service.View()
-	if len(view.Members) == 0 {
-		return ratelimit.HolderID{}, false
-	}
-	first := view.Members[0]
-	return ratelimit.HolderID{Member: first.Name, Incarnation: first.Incarnation}, true
+func (g *groups) keeperOf(group uint32) (ratelimit.DaemonID, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	claim, ok := g.claims.Keeper(group)
+	return claim.Keeper, ok
 }
 
 // grant answers a holder's request.
-func (g *groups) grant(now time.Time, holder ratelimit.HolderID, request *wire.GrantRequest) wire.GrantReply {
+func (g *groups) grant(now time.Time, holder ratelimit.DaemonID, request *wire.GrantRequest) wire.GrantReply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	keeper, ok := g.keepers[request.Group]
 	if !ok {
-		keeper = ratelimit.NewKeeper(request.Group, g.count, 1)
-		keeper.SetLimits(now, g.workspaces)
-		g.keepers[request.Group] = keeper
+		return wire.GrantReply{Number: request.Number, Group: request.Group, Refused: string(ratelimit.GrantNotKeeper)}
 	}
-	reply, _ := keeper.Grant(now, now.Add(time.Hour), holder, request)
+	reply, _ := keeper.Grant(now, g.claims.Right(request.Group), holder, request)
 	return reply
 }
 
+// setLimits applies the limits of a new version.
 func (g *groups) setLimits(now time.Time, workspaces []tables.Workspace) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.workspaces = workspaces
-	for group := range g.count {
-		if g.keepers[group] == nil {
-			g.keepers[group] = ratelimit.NewKeeper(group, g.count, 1)
+	for _, keeper := range g.keepers {
+		keeper.SetLimits(now, workspaces)
+	}
+}
+
+// follow reads the keepers stream until ctx ends.
+func (g *groups) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		from := g.claims.Position()
+		g.mu.Unlock()
+		begun := time.Now()
+		batch, err := g.log.Read(ctx, platform.StreamKeepers, from, readLimit, g.pollWait)
+		if err != nil {
+			pause(ctx, readErrorDelay)
+			continue
+		}
+		g.step(func(now time.Time) []ratelimit.Action { return g.claims.ReadBatch(now, begun, batch) })
+	}
+}
+
+// tick lets time pass for the claims until ctx ends.
+func (g *groups) tick(ctx context.Context) {
+	for pause(ctx, ratelimit.ClaimsTick) {
+		members := g.aliveMembers()
+		g.step(func(now time.Time) []ratelimit.Action {
+			g.claims.Members(members)
+			return g.claims.Tick(now)
+		})
+	}
+}
+
+// aliveMembers translates the membership view.
+func (g *groups) aliveMembers() []ratelimit.Member {
+	view := g.members.service.View()
+	alive := make([]ratelimit.Member, 0, len(view.Members))
+	for _, member := range view.Members {
+		alive = append(alive, ratelimit.Member{
+			ID:      ratelimit.DaemonID{Member: member.Name, Incarnation: member.Incarnation},
+			Zone:    member.Zone,
+			Address: member.Peer.String(),
+			Leaving: member.Leaving,
+		})
+	}
+	return alive
+}
+
+// step runs an event of the claims under the lock and carries out its actions.
+// Keepers start and stop under the lock, so that no grant is made in between.
+func (g *groups) step(event func(now time.Time) []ratelimit.Action) {
+	now := time.Now()
+	g.mu.Lock()
+	actions := event(now)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case *ratelimit.StartGranting:
+			g.startGranting(now, a)
+		case *ratelimit.StopGranting:
+			delete(g.keepers, a.Group)
+			logging.Event("rates", "group-stopped", "group", a.Group, "reason", string(a.Reason))
+		}
+	}
+	g.mu.Unlock()
+	for _, action := range actions {
+		g.carryOut(action)
+	}
+}
+
+// startGranting makes the keeper of a group. The caller holds the lock.
+func (g *groups) startGranting(now time.Time, a *ratelimit.StartGranting) {
+	keeper := ratelimit.NewKeeper(a.Group, g.count, a.Epoch)
+	if a.FromState {
+		taken, err := ratelimit.TakeOver(now, g.received[a.Group], a.Epoch)
+		if err == nil {
+			keeper = taken
+		}
+		logging.Event("rates", "group-taken-over", "group", a.Group, "error", errorText(err))
+	}
+	delete(g.received, a.Group)
+	keeper.SetLimits(now, g.workspaces)
+	g.keepers[a.Group] = keeper
+	logging.Event("rates", "group-started", "group", a.Group, "epoch", a.Epoch, "reason", string(a.Reason))
+}
+
+// carryOut performs an action that needs no lock.
+func (g *groups) carryOut(action ratelimit.Action) {
+	switch a := action.(type) {
+	case *ratelimit.AppendClaim:
+		go g.appendClaim(a)
+	case *ratelimit.AskConsent:
+		go g.askConsent(a)
+	case *ratelimit.ProbeDeath:
+		go g.probeDeath(a)
+	case *ratelimit.HandOver:
+		go g.handOver(a)
+	}
+}
+
+// appendClaim appends a claim and reports the outcome.
+func (g *groups) appendClaim(a *ratelimit.AppendClaim) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimAppendTimeout)
+	defer cancel()
+	data, err := ratelimit.EncodeClaim(a.Claim)
+	if err == nil {
+		_, err = g.log.Append(ctx, platform.StreamKeepers, data)
+	}
+	logging.Event("rates", "group-claim", "group", a.Claim.Group, "epoch", a.Claim.Epoch, "keeper", a.Claim.Keeper.Member,
+		"successor", a.Claim.Successor.Member, "reason", string(a.Reason), "error", errorText(err))
+	g.step(func(now time.Time) []ratelimit.Action {
+		g.claims.Appended(now, a.Claim, err)
+		return nil
+	})
+}
+
+func (g *groups) askConsent(a *ratelimit.AskConsent) {
+	ctx, cancel := context.WithTimeout(context.Background(), reconnectTimeout)
+	defer cancel()
+	if link, err := g.members.link(ctx, a.To.Member); err == nil {
+		_ = link.Send(a.Request)
+	}
+}
+
+// onConsentRequest answers a keeper that names this daemon as its successor.
+func (g *groups) onConsentRequest(link peer.Link, m *wire.ConsentRequest) {
+	g.mu.Lock()
+	reply := g.claims.ConsentRequest(time.Now(), daemonOf(link), m)
+	g.mu.Unlock()
+	_ = link.Send(reply)
+}
+
+func (g *groups) onConsentReply(link peer.Link, m *wire.ConsentReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.claims.ConsentReply(daemonOf(link), m)
+}
+
+func daemonOf(link peer.Link) ratelimit.DaemonID {
+	identity := link.Peer()
+	return ratelimit.DaemonID{Member: identity.Member, Incarnation: identity.Incarnation}
+}
+
+// probeDeath connects to a keeper's address. A refused connection or another
+// incarnation that answers there proves that the keeper is dead.
+func (g *groups) probeDeath(a *ratelimit.ProbeDeath) {
+	ctx, cancel := context.WithTimeout(context.Background(), deathProbeTimeout)
+	defer cancel()
+	identity, err := g.members.hub.Probe(ctx, a.Address)
+	dead := errors.Is(err, syscall.ECONNREFUSED) ||
+		err == nil && identity.Member == a.Keeper.Member && identity.Incarnation > a.Keeper.Incarnation
+	logging.Event("rates", "keeper-probed", "keeper", a.Keeper.Member, "reason", string(a.Reason), "dead", dead, "error", errorText(err))
+	if dead {
+		g.died(a.Keeper)
+	}
+}
+
+// died takes the proof that a daemon is dead.
+func (g *groups) died(id ratelimit.DaemonID) {
+	g.step(func(now time.Time) []ratelimit.Action {
+		g.claims.Died(now, id)
+		return nil
+	})
+}
+
+// groupState is the content of a wire.Handover of a rate group.
+type groupState struct {
+	Group uint32 `cbor:"1,keyasint"`
+	State []byte `cbor:"2,keyasint"`
+}
+
+// handOver ends the keeper of a group and sends its state to the successor.
+func (g *groups) handOver(a *ratelimit.HandOver) {
+	g.mu.Lock()
+	keeper, ok := g.keepers[a.Group]
+	var state []byte
+	err := errHandoverRefused
+	if ok {
+		state, err = keeper.HandOver(time.Now())
+	}
+	g.mu.Unlock()
+	if err == nil {
+		var data []byte
+		if data, err = cbor.Marshal(groupState{Group: a.Group, State: state}); err == nil {
+			err = g.handover.sendPart(context.Background(), a.To.Member, handoverGroups, data, false)
 		}
-		g.keepers[group].SetLimits(now, workspaces)
+	}
+	logging.Event("rates", "group-handed-over", "group", a.Group, "to", a.To.Member, "reason", string(a.Reason), "error", errorText(err))
+	g.step(func(now time.Time) []ratelimit.Action { return g.claims.HandedOver(now, a.Group, err == nil) })
+}
+
+// takeOver stores the state of a group that another keeper handed over.
+func (g *groups) takeOver(from ratelimit.DaemonID, data []byte) error {
+	var handed groupState
+	if err := cbor.Unmarshal(data, &handed); err != nil {
+		return err
+	}
+	if handed.Group >= g.count {
+		return errHandoverRefused
+	}
+	g.mu.Lock()
+	g.received[handed.Group] = handed.State
+	g.mu.Unlock()
+	g.step(func(now time.Time) []ratelimit.Action { return g.claims.StateReceived(now, handed.Group, from) })
+	return nil
+}
+
+// leave hands all groups over, for a planned stop. If nobody takes them or the
+// platform is down, they end with this daemon.
+func (g *groups) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, giveUpTimeout)
+	defer cancel()
+	g.step(func(now time.Time) []ratelimit.Action { return g.claims.Leave(now) })
+	err := waitFor(ctx, handoverRetryDelay, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.claims.Kept() == 0
+	})
+	if err != nil {
+		logging.Event("rates", "groups-not-handed-over", "error", err.Error())
 	}
 }
 
-func (g *groups) peerSeen(peer.Identity)                           {}
-func (g *groups) onConsentRequest(peer.Link, *wire.ConsentRequest) {}
-func (g *groups) onConsentReply(peer.Link, *wire.ConsentReply)     {}
-func (g *groups) takeOver(time.Time, []byte) error                 { return errHandoverRefused }
-func (g *groups) status() []GroupStatus                            { return nil }
+// status names the keepers of all groups.
+func (g *groups) status() []GroupStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var status []GroupStatus
+	for group := range g.count {
+		if claim, ok := g.claims.Keeper(group); ok {
+			status = append(status, GroupStatus{Group: group, Keeper: claim.Keeper.Member, Epoch: claim.Epoch})
+		}
+	}
+	return status
+}
--- a/internal/process/daemon/handover.go
+++ b/internal/process/daemon/handover.go
@@ -95,11 +95,11 @@
 	case handoverTickets:
 		err = h.tickets.take(m.Data, m.More)
 	case handoverGroups:
-		err = h.groups.takeOver(time.Now(), m.Data)
+		err = h.groups.takeOver(daemonOf(link), m.Data)
 	default:
 		err = errHandoverRefused
 	}
-	logging.Event(0, "handover-received", "from", link.Peer().Member, "kind", m.Kind, "bytes", len(m.Data), "error", errorText(err))
+	logging.Event("handover", "handover-received", "from", link.Peer().Member, "kind", m.Kind, "bytes", len(m.Data), "error", errorText(err))
 	_ = link.Send(wire.HandoverAck{Number: m.Number, Taken: err == nil})
 }
 
@@ -135,7 +135,7 @@
 		if err := h.tickets.confirm(snapshot.Serial); err != nil {
 			return err
 		}
-		logging.Event(0, "tickets-handed-over", "to", successor.Home, "serial", snapshot.Serial, "parts", len(snapshot.Parts), "unfinished", snapshot.Unfinished)
+		logging.Event("handover", "tickets-handed-over", "to", successor.Home, "serial", snapshot.Serial, "parts", len(snapshot.Parts), "unfinished", snapshot.Unfinished)
 		if snapshot.Unfinished > 0 {
 			pause(ctx, handoverRetryDelay)
 		}
--- a/internal/process/daemon/links.go
+++ b/internal/process/daemon/links.go
@@ -25,9 +25,8 @@
 // LinkUp implements peer.Handler.
 func (l *links) LinkUp(link peer.Link) {
 	l.metrics.Link("up")
-	logging.Event(1, "link-up", "peer", link.Peer().Member, "incarnation", link.Peer().Incarnation, "zone", link.Peer().Zone)
+	logging.Event("links", "link-up", "peer", link.Peer().Member, "incarnation", link.Peer().Incarnation, "zone", link.Peer().Zone)
 	l.pool.Submit(link.Number(), func() {
-		l.groups.peerSeen(link.Peer())
 		l.dispatcher.onLinkUp(link)
 	})
 }
@@ -35,7 +34,7 @@
 // LinkDown implements peer.Handler.
 func (l *links) LinkDown(link peer.Link, reason string) {
 	l.metrics.Link("down")
-	logging.Event(1, "link-down", "peer", link.Peer().Member, "reason", reason)
+	logging.Event("links", "link-down", "peer", link.Peer().Member, "reason", reason)
 	l.pool.Submit(link.Number(), func() {
 		l.dispatcher.onLinkDown(link)
 		if _, ok := l.executor.hub.Existing(link.Peer().Member); !ok {
@@ -67,7 +66,8 @@
 	case *wire.Cancel:
 		l.executor.cancel(from, m.ID)
 	case *wire.Forward:
-		go l.tickets.onForward(link, m, l.configuration.current())
+		current := l.configuration.current()
+		l.executor.handleForward(from, m, func() *wire.Answer { return l.tickets.answerForward(m, current) })
 	case *wire.GrantRequest:
 		l.rates.onGrantRequest(link, m)
 	case *wire.GrantReply:
@@ -85,6 +85,6 @@
 	case *wire.TablesReply:
 		l.configuration.onTablesReply(m)
 	case *wire.GoAway:
-		logging.Event(1, "peer-leaving", "peer", from.Member, "reason", m.Reason)
+		logging.Event("links", "peer-leaving", "peer", from.Member, "reason", m.Reason)
 	}
 }
--- a/internal/process/daemon/members.go
+++ b/internal/process/daemon/members.go
@@ -41,6 +41,15 @@
 	return m.hub.Link(ctx, name, member.Peer.String())
 }
 
+// refresh opens a new link to a member besides the current one.
+func (m *members) refresh(ctx context.Context, name string) (peer.Link, error) {
+	member := m.service.View().Find(name)
+	if member == nil {
+		return nil, errNoMember
+	}
+	return m.hub.Refresh(ctx, name, member.Peer.String())
+}
+
 // persistentLink returns a link to a member. It tries until ctx ends, unless the
 // member is gone.
 func (m *members) persistentLink(ctx context.Context, name string) (peer.Link, error) {
@@ -78,7 +87,7 @@
 	detail := m.service.Self().Detail
 	apply(&detail)
 	if err := m.service.SetSelf(detail); err != nil {
-		logging.Event(0, "record-refused", "error", err.Error())
+		logging.Event("members", "record-refused", "error", err.Error())
 	}
 }
 
--- a/internal/process/daemon/rates.go
+++ b/internal/process/daemon/rates.go
@@ -19,10 +19,14 @@
 // within ratelimit.AnswerTime to ask once more.
 const keeperDialTimeout = 100 * time.Millisecond
 
+// keeperReplyTimeout is far above a usual reply (a few ms between zones) and
+// leaves time within ratelimit.AnswerTime to ask on a new link.
+const keeperReplyTimeout = 80 * time.Millisecond
+
 // rates is this daemon as a holder of tokens. Its lock guards holder, waiting
 // and sentOn.
 type rates struct {
-	self    ratelimit.HolderID
+	self    ratelimit.DaemonID
 	members *members
 	groups  *groups
 
@@ -37,7 +41,7 @@
 
 func newRates(self execution.Peer, members *members, groups *groups, count uint32, rng *rand.Rand) *rates {
 	return &rates{
-		self:    ratelimit.HolderID{Member: self.Member, Incarnation: self.Incarnation},
+		self:    ratelimit.DaemonID{Member: self.Member, Incarnation: self.Incarnation},
 		members: members,
 		groups:  groups,
 		holder:  ratelimit.NewHolder(count, rng),
@@ -83,7 +87,7 @@
 	if decision.Send {
 		go r.flush()
 	}
-	logging.Event(2, "rate", "request", requestID, "workspace", workspace, "reason", string(decision.Reason))
+	logging.DebugEvent("rates", "rate", "request", requestID, "workspace", workspace, "reason", string(decision.Reason))
 	return rateProblem(workspace, decision)
 }
 
@@ -171,6 +175,28 @@
 	r.mu.Unlock()
 	if link.Send(request) != nil {
 		r.failed(request.Number)
+		return
+	}
+	time.AfterFunc(keeperReplyTimeout, func() { r.refresh(link, request.Number) })
+}
+
+// refresh replaces a link on which a keeper has not replied in time. The link
+// may have gone silent, and requests that wait for tokens are refused long
+// before its silence would be noticed.
+func (r *rates) refresh(link peer.Link, number uint64) {
+	r.mu.Lock()
+	_, missing := r.sentOn[number]
+	r.mu.Unlock()
+	member := link.Peer().Member
+	if current, ok := r.members.hub.Existing(member); !missing || !ok || current.Number() != link.Number() {
+		return
+	}
+	logging.Event("rates", "keeper-reply-missing", "keeper", member, "number", number)
+	ctx, cancel := context.WithTimeout(context.Background(), keeperDialTimeout)
+	defer cancel()
+	if _, err := r.members.refresh(ctx, member); err == nil {
+		r.failed(number) // the holder asks again, on the new link
+		r.flush()
 	}
 }
 
@@ -218,7 +244,7 @@
 // onGrantRequest answers another holder.
 func (r *rates) onGrantRequest(link peer.Link, request *wire.GrantRequest) {
 	from := link.Peer()
-	reply := r.groups.grant(time.Now(), ratelimit.HolderID{Member: from.Member, Incarnation: from.Incarnation}, request)
+	reply := r.groups.grant(time.Now(), ratelimit.DaemonID{Member: from.Member, Incarnation: from.Incarnation}, request)
 	_ = link.Send(reply)
 }
 
--- a/internal/process/daemon/server.go
+++ b/internal/process/daemon/server.go
@@ -75,7 +75,7 @@
 	s.lastSeen = now
 	s.mu.Unlock()
 	if previous != next.state {
-		logging.Event(0, "server-state", "server", next.name, "pool", next.pool, "from", previous, "to", next.state, "reason", "announced")
+		logging.Event("server", "server-state", "server", next.name, "pool", next.pool, "from", previous, "to", next.state, "reason", "announced")
 	}
 	s.onChange(next)
 	return nil
@@ -121,7 +121,7 @@
 	s.server.state = membership.ServerDown
 	server := s.server
 	s.mu.Unlock()
-	logging.Event(0, "server-state", "server", server.name, "pool", server.pool, "from", previous, "to", server.state, "reason", reason)
+	logging.Event("server", "server-state", "server", server.name, "pool", server.pool, "from", previous, "to", server.state, "reason", reason)
 	// The caller may be inside an event of the executor, whose lock onChange takes.
 	go s.onChange(server)
 }
--- a/internal/process/daemon/serverport.go
+++ b/internal/process/daemon/serverport.go
@@ -191,7 +191,7 @@
 			children.MarkUnknown(token, key, execution.ReasonUnsettled)
 		}
 	})
-	logging.Event(2, "child-call", "request", c.id, "route", c.route.Name, "depth", c.context.Depth,
+	logging.DebugEvent("server-port", "child-call", "request", c.id, "route", c.route.Name, "depth", c.context.Depth,
 		"workspace", c.context.Workspace, "answered", response != nil)
 	return response, refusal
 }
--- a/internal/process/daemon/settlement.go
+++ b/internal/process/daemon/settlement.go
@@ -42,7 +42,7 @@
 	waiting := d.pending.OnLinkLost(link.Number())
 	d.mu.Unlock()
 	if waiting > 0 {
-		logging.Event(0, "settle-after-lost-link", "peer", link.Peer().Member, "attempts", waiting)
+		logging.Event("dispatcher", "settle-after-lost-link", "peer", link.Peer().Member, "attempts", waiting)
 		go d.reconnect(peerOf(link))
 	}
 }
@@ -101,10 +101,6 @@
 		switch action.Kind {
 		case execution.ActionSettle:
 			_ = link.Send(wire.Settle{ID: action.ID})
-		case execution.ActionResend:
-			if w := d.waiter(action.ID, false); w != nil && w.forward != nil {
-				_ = link.Send(w.forward)
-			}
 		case execution.ActionAck:
 			d.sendAck(link, action)
 		case execution.ActionCancel:
@@ -135,22 +131,13 @@
 
 // finish hands the end of an attempt to what waits for it.
 func (d *dispatcher) finish(action execution.Action) {
-	w := d.waiter(action.ID, true)
-	if w == nil {
-		return
-	}
-	w.done <- endOf(action)
-}
-
-// waiter returns, and with remove forgets, what waits for an attempt.
-func (d *dispatcher) waiter(id wire.AttemptID, remove bool) *waiter {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	w := d.waiters[id]
-	if remove {
-		delete(d.waiters, id)
+	w := d.waiters[action.ID]
+	delete(d.waiters, action.ID)
+	d.mu.Unlock()
+	if w != nil {
+		w.done <- endOf(action)
 	}
-	return w
 }
 
 // endOf translates the final action of an attempt.
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -17,12 +17,13 @@
 
 // Stop is a planned stop: it cuts no request. ctx bounds it.
 func (d *Daemon) Stop(ctx context.Context) error {
-	logging.Event(0, "stopping", "member", d.self.Member)
+	logging.Event("daemon", "stopping", "member", d.self.Member)
 	d.leaving.Store(true)
 	d.members.setLeaving("")
 	d.hub.Broadcast(wire.GoAway{Reason: "planned stop"})
 	d.executor.leave()
 	pause(ctx, d.cfg.LameDuck)
+	d.groups.leave(ctx)
 	var errs []error
 	// Shutdown waits for the requests of callers.
 	errs = append(errs, d.servers["caller"].Shutdown(ctx))
@@ -32,7 +33,7 @@
 	d.rates.returnAll()
 	d.sayLeft(ctx)
 	errs = append(errs, d.close())
-	logging.Event(0, "stopped", "member", d.self.Member, "error", errorText(errors.Join(errs...)))
+	logging.Event("daemon", "stopped", "member", d.self.Member, "error", errorText(errors.Join(errs...)))
 	return errors.Join(errs...)
 }
 
@@ -42,7 +43,7 @@
 	for {
 		successor, ok := d.successor()
 		if !ok {
-			logging.Event(0, "tickets-not-handed-over", "reason", "no member takes them")
+			logging.Event("daemon", "tickets-not-handed-over", "reason", "no member takes them")
 			return nil
 		}
 		d.members.setLeaving(successor.Home)
@@ -62,10 +63,10 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTime)
 	defer cancel()
 	if err := d.members.service.Leave(ctx); err != nil {
-		logging.Event(0, "leave-not-spread", "error", err.Error())
+		logging.Event("daemon", "leave-not-spread", "error", err.Error())
 	}
 	if err := d.announcer.Announce(ctx); err != nil {
-		logging.Event(0, "leave-not-announced", "error", err.Error())
+		logging.Event("daemon", "leave-not-announced", "error", err.Error())
 	}
 }
 
--- a/internal/process/daemon/tickets.go
+++ b/internal/process/daemon/tickets.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/caller"
-	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
@@ -99,7 +98,7 @@
 	}
 	for {
 		decision, end := t.begin(use)
-		logging.Event(1, "ticket", "request", c.id, "home", parsed.Owner.Home, "reason", string(decision.Reason))
+		logging.Event("tickets", "ticket", "request", c.id, "home", parsed.Owner.Home, "reason", string(decision.Reason))
 		switch decision.Outcome {
 		case ticket.Dispatch:
 			return t.dispatch(ctx, c, decision.Key)
@@ -173,17 +172,19 @@
 func (t *tickets) runOnce(ctx context.Context, c *call, key ticket.Key) answered {
 	guard := &homeGuard{tickets: t, key: key}
 	c.guard = guard
-	if refusal := t.rates.take(ctx, c.id, c.context.Workspace); refusal != nil {
-		t.end(key, func() error { return t.home.Release(key) })
-		return answered{refusal: refusal}
+	var response *wire.Response
+	refusal := t.rates.take(ctx, c.id, c.context.Workspace)
+	if refusal == nil {
+		response, refusal = t.dispatcher.run(ctx, c)
 	}
-	response, refusal := t.dispatcher.run(ctx, c)
 	err := t.end(key, func() error {
 		switch {
 		case response != nil:
 			return t.home.Complete(key, guard.attempt, response)
 		case refusal.Executed == problem.ExecutedNo:
-			return t.home.Release(key)
+			var err error
+			refusal.Executed, err = t.home.Refuse(key)
+			return err
 		default:
 			return t.home.MarkUnknown(key, guard.attempt, ticket.ReasonNoAnswer)
 		}
@@ -200,7 +201,7 @@
 	defer t.mu.Unlock()
 	err := store()
 	if err != nil {
-		logging.Event(0, "ticket-end-refused", "home", key.Owner.Home, "number", key.Number, "error", err.Error())
+		logging.Event("tickets", "ticket-end-refused", "home", key.Owner.Home, "number", key.Number, "error", err.Error())
 	}
 	if end, ok := t.ends[key]; ok {
 		close(end)
@@ -239,21 +240,30 @@
 	if member == t.self.Home {
 		return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, "the ticket was issued before this daemon restarted")}
 	}
-	message := &wire.Forward{
-		ID:      newAttemptID(),
-		Route:   c.route.Name,
-		Ticket:  parsed.String(),
-		Context: c.context,
-		Request: c.request,
+	for {
+		message := &wire.Forward{
+			ID:      newAttemptID(),
+			Route:   c.route.Name,
+			Ticket:  parsed.String(),
+			Context: c.context,
+			Request: c.request,
+		}
+		message.Context.RemainingMS = remainingMS(c.deadline)
+		logging.Event("tickets", "forward", "request", c.id, "home", home.Home, "to", member)
+		end := t.dispatcher.forward(ctx, member, message, c.deadline)
+		if end.answer != nil || end.proof == 0 {
+			return end
+		}
+		// The message did not reach the home. That proves nothing about earlier
+		// tries with this ticket, so that only the home may say "no".
+		if !pause(ctx, reconnectDelay) {
+			return answered{refusal: problem.Unknown(problem.KindOutcomeUnknown, "the ticket's home "+member+" was not reached in time")}
+		}
 	}
-	message.Context.RemainingMS = remainingMS(c.deadline)
-	logging.Event(1, "forward", "request", c.id, "home", home.Home, "to", member)
-	return t.dispatcher.forward(ctx, member, message, c.deadline)
 }
 
-// onForward answers a request that another daemon passed on, in a goroutine of
-// its own.
-func (t *tickets) onForward(link peer.Link, message *wire.Forward, current *tablesInForce) {
+// answerForward carries out a request that another daemon passed on.
+func (t *tickets) answerForward(message *wire.Forward, current *tablesInForce) *wire.Answer {
 	deadline := time.Now().Add(message.Context.Remaining())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -262,7 +272,7 @@
 	if end.response == nil {
 		answer.Refusal = refusalMessage(end.refusal)
 	}
-	_ = link.Send(answer)
+	return answer
 }
 
 func (t *tickets) runForwarded(ctx context.Context, message *wire.Forward, current *tablesInForce, deadline time.Time) answered {
--- a/internal/process/settings/programs.go
+++ b/internal/process/settings/programs.go
@@ -34,10 +34,10 @@
 		Workers     int
 	}
 	Timing struct {
-		LinkPing     time.Duration
-		LinkSilence  time.Duration
-		KeyFreshness time.Duration
-		StopTimeout  time.Duration
+		LinkPing    time.Duration
+		LinkSilence time.Duration
+		LameDuck    time.Duration
+		StopTimeout time.Duration
 	}
 	Log struct {
 		Level string
@@ -85,8 +85,8 @@
 		address("listen", "admin", &d.Listen.Admin, "", true, "Port for metrics, /livez, /readyz and /status. Keep it in the operators' network."),
 
 		address("platform", "address", &d.Platform.Address, "", true, "Address of the platform's log."),
-		duration("platform", "poll_wait", &d.Platform.PollWait, "1s", 100*time.Millisecond, 3*time.Second, "Wait of a long poll. Longer: fewer requests to the platform; shorter: an idle stream is known to be idle earlier. At most half of timing key_freshness."),
-		duration("platform", "retention", &d.Platform.Retention, "168h", time.Hour, 8760*time.Hour, "Retention time of the platform. Snapshots are appended before half of it has passed; a value above the real one lets the tables expire, one below costs more snapshots."),
+		duration("platform", "poll_wait", &d.Platform.PollWait, "1s", 100*time.Millisecond, 2*time.Second, "Wait of a long poll. Longer: fewer requests to the platform; shorter: an idle stream is known to be idle earlier. Keys are trusted for 4s after a read, so that one slow read must fit in."),
+		duration("platform", "retention", &d.Platform.Retention, "168h", 3*time.Hour, 8760*time.Hour, "Retention time of the platform. Snapshots are appended before half of it has passed; a value above the real one lets the tables expire, one below costs more snapshots."),
 
 		duration("backend", "heartbeat_interval", &d.Backend.HeartbeatInterval, "1s", 100*time.Millisecond, 10*time.Second, "Expected time between announcements of the backend server; 3 missed ones mark it not ready. Longer: a silent failure is seen later; shorter: a busy server may be marked by mistake."),
 		integer("backend", "connections", &d.Backend.Connections, "256", 1, 10000, "Connections to the backend server that are kept. Fewer: more new connections (about 1 ms each); more: less of the server's connection limit is left."),
@@ -99,7 +99,7 @@
 
 		duration("timing", "link_ping", &d.Timing.LinkPing, "1s", 100*time.Millisecond, 2*time.Second, "Time between pings on a link between daemons. Shorter: more traffic."),
 		duration("timing", "link_silence", &d.Timing.LinkSilence, "2500ms", 300*time.Millisecond, 10*time.Second, "Silence after which a link is replaced, at least twice link_ping. Longer: requests wait longer on a silent link; shorter: a pause of the peer costs a new link."),
-		duration("timing", "key_freshness", &d.Timing.KeyFreshness, "4s", time.Second, 4500*time.Millisecond, "Time for which keys are trusted after a read of the log's end. Longer: a withdrawn key works longer (target: at most 5s); shorter: a slow platform sooner leads to questions to peers and to refusals."),
+		duration("timing", "lame_duck", &d.Timing.LameDuck, "2s", 0, time.Minute, "Time at a planned stop in which callers are still served and told to close their connections. Longer: fewer connections are open when the port closes; shorter: a faster stop."),
 		duration("timing", "stop_timeout", &d.Timing.StopTimeout, "10m", time.Second, 15*time.Minute, "Longest wait for running requests at a planned stop. Shorter than the longest timeout of a route: the stop may interrupt requests."),
 
 		choice("log", "level", &d.Log.Level, "info", logging.Levels, "Lowest level that is logged. debug writes several lines per request."),
@@ -114,9 +114,6 @@
 	if d.Timing.LinkSilence < 2*d.Timing.LinkPing {
 		faults = append(faults, Error{Reason: ReasonBadValue, Section: "timing", Key: "link_silence", Value: d.Timing.LinkSilence.String(), Remedy: "use at least twice link_ping, so that one lost ping does not end a link"})
 	}
-	if 2*d.Platform.PollWait > d.Timing.KeyFreshness {
-		faults = append(faults, Error{Reason: ReasonBadValue, Section: "platform", Key: "poll_wait", Value: d.Platform.PollWait.String(), Remedy: "use at most half of timing key_freshness, so that one slow read does not make the tables stale"})
-	}
 	used := map[netip.AddrPort]string{}
 	for _, l := range []struct {
 		key     string
@@ -130,6 +127,64 @@
 	return faults
 }
 
+// StandinPlatform holds the settings of the platform's stand-in.
+type StandinPlatform struct {
+	Listen           netip.AddrPort
+	AppendsPerSecond int
+	Retention        time.Duration
+}
+
+// StandinBackend holds the settings of the backend server's stand-in.
+type StandinBackend struct {
+	Name        string
+	Pool        string
+	Listen      netip.AddrPort
+	Daemon      netip.AddrPort
+	Slots       int
+	Service     time.Duration
+	Constant    bool
+	QueueLimit  int
+	ColdStart   time.Duration
+	Calls       string
+	Direct      string
+	DirectTries int
+	Seed        int
+}
+
+// LoadStandinPlatform loads the settings of the platform's stand-in. The error
+// is of type Errors.
+func LoadStandinPlatform(path string, environment []string) (*StandinPlatform, error) {
+	var p StandinPlatform
+	s := &Set{Settings: []Setting{
+		address("platform", "listen", &p.Listen, "", true, "Port of the log."),
+		integer("platform", "appends_per_second", &p.AppendsPerSecond, "300", 1, 1_000_000, "Appends that are taken per second; more are refused."),
+		duration("platform", "retention", &p.Retention, "24h", time.Second, 8760*time.Hour, "Time for which records are kept."),
+	}}
+	return &p, s.Load(path, environment)
+}
+
+// LoadStandinBackend loads the settings of the backend server's stand-in. The
+// error is of type Errors.
+func LoadStandinBackend(path string, environment []string) (*StandinBackend, error) {
+	var b StandinBackend
+	s := &Set{Settings: []Setting{
+		name("backend", "name", &b.Name, "Name of the backend server."),
+		name("backend", "pool", &b.Pool, "Pool that it joins."),
+		address("backend", "listen", &b.Listen, "", true, "Port for requests."),
+		address("backend", "daemon", &b.Daemon, "", true, "Server port of its daemon."),
+		integer("backend", "slots", &b.Slots, "8", 1, 100_000, "Requests that run at once."),
+		duration("backend", "service", &b.Service, "1ms", 0, time.Minute, "Mean time that a request holds a slot."),
+		boolean("backend", "constant", &b.Constant, "false", "Constant service times in place of exponentially distributed ones."),
+		integer("backend", "queue_limit", &b.QueueLimit, "100", 0, 1_000_000, "Requests that wait for a slot; more are answered 503."),
+		duration("backend", "cold_start", &b.ColdStart, "0s", 0, time.Hour, "Time after the start in which requests take 4 times as long."),
+		text("backend", "calls", &b.Calls, "Calls to other services that each request makes, such as \"GET /stock/1\", separated by commas."),
+		text("backend", "direct", &b.Direct, "Backend servers to call without daemons, as POOL=ADDRESS, separated by commas. For baselines."),
+		integer("backend", "direct_tries", &b.DirectTries, "1", 1, 100, "Tries of each direct call."),
+		integer("backend", "seed", &b.Seed, "1", 0, 1<<31, "Seed of the service times."),
+	}}
+	return &b, s.Load(path, environment)
+}
+
 func controlSet(c *Control) *Set {
 	return &Set{Settings: []Setting{
 		address("platform", "address", &c.Platform.Address, "", true, "Address of the platform's log."),
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -353,6 +353,22 @@
 		}}
 }
 
+func boolean(section, key string, target *bool, def string, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "boolean", Default: def, Bounds: "true or false", Help: help, set: func(text string) bool {
+		value, err := strconv.ParseBool(text)
+		*target = value
+		return err == nil
+	}}
+}
+
+// text is a setting without bounds; its default is empty.
+func text(section, key string, target *string, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "text", Bounds: "any text", Help: help, set: func(text string) bool {
+		*target = text
+		return true
+	}}
+}
+
 func choice(section, key string, target *string, def string, values []string, help string) Setting {
 	return Setting{Section: section, Key: key, Type: "choice", Default: def, Help: help, Bounds: strings.Join(values, ", "),
 		set: func(text string) bool {
--- /dev/null
+++ b/internal/process/standin/command.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/settings"
+)
+
+// Times of the programs.
+const (
+	announceInterval = time.Second
+	drainTime        = 2500 * time.Millisecond // until no daemon sends new work
+	drainPoll        = 20 * time.Millisecond
+	coldFactor       = 4
+)
+
+// Exit codes of the command.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	command := newCommand()
+	command.SetArgs(args)
+	err := command.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var faults settings.Errors
+	if errors.As(err, &faults) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "tarragon-standin",
+		Short:         "Stand-ins for the platform's log and for a backend server, for development only",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.AddCommand(
+		subcommand("platform", "Runs an append-only log with settable faults", runPlatform),
+		subcommand("backend", "Runs a backend server that announces itself to its daemon", runBackend),
+	)
+	return root
+}
+
+func subcommand(name, short string, run func(ctx context.Context, config string, checkOnly bool) error) *cobra.Command {
+	var config string
+	var checkOnly bool
+	command := &cobra.Command{
+		Use:     name,
+		Short:   short,
+		Example: "  tarragon-standin " + name + " --config " + name + ".ini\n  tarragon-standin " + name + " --config " + name + ".ini --check-config",
+		Args:    cobra.NoArgs,
+		RunE:    func(command *cobra.Command, _ []string) error { return run(command.Context(), config, checkOnly) },
+	}
+	command.Flags().StringVar(&config, "config", "", "settings file (INI)")
+	command.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings and exit")
+	return command
+}
+
+func runPlatform(ctx context.Context, config string, checkOnly bool) error {
+	s, err := settings.LoadStandinPlatform(config, os.Environ())
+	if err != nil || checkOnly {
+		return err
+	}
+	p := NewPlatform(PlatformConfig{AppendsPerSecond: float64(s.AppendsPerSecond), Retention: s.Retention})
+	return serve(ctx, s.Listen, p, func() {})
+}
+
+func runBackend(ctx context.Context, config string, checkOnly bool) error {
+	s, err := settings.LoadStandinBackend(config, os.Environ())
+	if err != nil || checkOnly {
+		return err
+	}
+	b := NewBackend(backendConfig(s))
+	announcing, stopAnnouncing := context.WithCancel(context.Background())
+	defer stopAnnouncing()
+	if s.Direct == "" {
+		go b.announceLoop(announcing)
+	}
+	return serve(ctx, s.Listen, b, func() { b.drain(announcing) })
+}
+
+func backendConfig(s *settings.StandinBackend) BackendConfig {
+	return BackendConfig{
+		Name:        s.Name,
+		Pool:        s.Pool,
+		Address:     s.Listen.String(),
+		Daemon:      s.Daemon.String(),
+		Slots:       s.Slots,
+		Service:     s.Service,
+		Constant:    s.Constant,
+		ColdStart:   s.ColdStart,
+		ColdFactor:  coldFactor,
+		QueueLimit:  s.QueueLimit,
+		Calls:       splitList(s.Calls),
+		Direct:      directAddresses(s.Direct),
+		DirectTries: s.DirectTries,
+		Seed:        uint64(s.Seed),
+	}
+}
+
+func splitList(text string) []string {
+	var items []string
+	for _, item := range strings.Split(text, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// directAddresses parses a list of POOL=ADDRESS; nil if it is empty.
+func directAddresses(text string) map[string][]string {
+	var direct map[string][]string
+	for _, item := range splitList(text) {
+		pool, address, ok := strings.Cut(item, "=")
+		if !ok {
+			continue
+		}
+		if direct == nil {
+			direct = make(map[string][]string)
+		}
+		direct[pool] = append(direct[pool], address)
+	}
+	return direct
+}
+
+// serve serves until ctx ends, then drains.
+func serve(ctx context.Context, address netip.AddrPort, handler http.Handler, drain func()) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler}
+	go func() {
+		<-ctx.Done()
+		drain()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// announceLoop announces the server until ctx ends.
+func (b *Backend) announceLoop(ctx context.Context) {
+	for {
+		if err := b.Announce(ctx); err != nil && ctx.Err() == nil {
+			logging.WarningEvent("backend", "announcement-failed", "error", err)
+		}
+		if !sleep(ctx, announceInterval) {
+			return
+		}
+	}
+}
+
+// drain announces that the server is leaving and waits until it is idle.
+func (b *Backend) drain(ctx context.Context) {
+	b.SetFaults(BackendFaults{Draining: true})
+	_ = b.Announce(ctx)
+	sleep(ctx, drainTime)
+	for !b.Idle() && sleep(ctx, drainPoll) {
+	}
+}
--- a/internal/process/testbed/bed.go
+++ b/internal/process/testbed/bed.go
@@ -39,8 +39,8 @@
 	// AppendsPerSecond and RetentionSeconds are properties of the platform.
 	AppendsPerSecond int
 	RetentionSeconds int
-	// LogLevel is the log level of the daemons.
-	LogLevel int
+	// LogLevel is the log level of the daemons; empty means their default.
+	LogLevel string
 	// ExtraSettings is added to each daemon's settings file.
 	ExtraSettings string
 	// Direct lets the backend servers call each other without daemons, with
@@ -103,9 +103,9 @@
 [rates]
 groups = {{.Groups}}
 
-[log]
+{{if .Level}}[log]
 level = {{.Level}}
-{{.Extra}}
+{{end}}{{.Extra}}
 `
 
 const backendTemplate = `[backend]
