--- /dev/null
+++ b/cmd/tarragonctl/main.go
@@ -0,0 +1,19 @@
+// Command tarragonctl is the operators' command.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"tarragonshore.example/tarragonshore/internal/process/operator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	code := operator.Run(ctx, os.Args[1:], operator.System())
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/process/operator/commands.go
@@ -0,0 +1,523 @@
+package operator
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// keyBytes is the length of a generated key, as long as its digest.
+const keyBytes = 32
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "tarragonctl",
+		Short: "Validate, publish and inspect the routes and pools tables",
+		Long: "tarragonctl validates, publishes and inspects the routes and pools tables.\n\n" +
+			"Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown.",
+		Example:       "  tarragonctl validate --routes routes.ini --pools pools.ini\n  tarragonctl publish --routes routes.ini --pools pools.ini --wait\n  tarragonctl --config tarragonctl.ini --check-config",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if a.output != "text" && a.output != "json" {
+				wrong := a.output
+				a.output = "text"
+				return usage("--output "+wrong, nil, "use text or json")
+			}
+			if !a.checkConfig {
+				return nil
+			}
+			if _, err := a.settings(); err != nil {
+				return err
+			}
+			if err := a.print("the settings are valid\n", map[string]bool{"valid": true}); err != nil {
+				return err
+			}
+			return errConfigChecked
+		},
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_ = cmd.Help()
+			return usage("no command given", nil, "choose one of the commands above")
+		},
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return usage("the command line is not valid", err, "see --help of the command")
+	})
+	flags := root.PersistentFlags()
+	flags.StringVar(&a.config, "config", "", "INI file with the settings; TARRAGON_SECTION_KEY overrides it")
+	flags.BoolVar(&a.checkConfig, "check-config", false, "check the settings and exit")
+	flags.StringVarP(&a.output, "output", "o", "text", "output format: text or json")
+	flags.DurationVar(&a.timeout, "timeout", 30*time.Second, "longest time for reading and publishing")
+	_ = root.MarkPersistentFlagFilename("config", "ini")
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"text", "json"}, cobra.ShellCompDirectiveNoFileComp))
+	root.AddCommand(a.validateCommand(), a.publishCommand(), a.showCommand(), a.diffCommand(), a.keyCommand(), a.drainCommand(), a.statusCommand(), a.versionCommand())
+	return root
+}
+
+// files are the two table files of a command.
+type files struct{ routes, pools string }
+
+func (f *files) flags(cmd *cobra.Command, required bool) {
+	cmd.Flags().StringVar(&f.routes, "routes", "", "file of the routes table")
+	cmd.Flags().StringVar(&f.pools, "pools", "", "file of the pools table")
+	for _, name := range []string{"routes", "pools"} {
+		_ = cmd.MarkFlagFilename(name, "ini")
+		if required {
+			_ = cmd.MarkFlagRequired(name)
+		}
+	}
+	cmd.MarkFlagsRequiredTogether("routes", "pools")
+}
+
+func (f *files) parse() (*tables.Tables, error) {
+	routes, err := os.ReadFile(f.routes)
+	if err != nil {
+		return nil, usage("the routes table cannot be read", err, "give the path of a readable file")
+	}
+	pools, err := os.ReadFile(f.pools)
+	if err != nil {
+		return nil, usage("the pools table cannot be read", err, "give the path of a readable file")
+	}
+	t, err := tables.Parse(routes, pools)
+	if err != nil {
+		return nil, parseFailure(err)
+	}
+	return t, nil
+}
+
+func (a *app) validateCommand() *cobra.Command {
+	var f files
+	cmd := &cobra.Command{
+		Use:     "validate --routes FILE --pools FILE",
+		Short:   "Check both tables without publishing them",
+		Example: "  tarragonctl validate --routes routes.ini --pools pools.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			t, err := f.parse()
+			if err != nil {
+				return err
+			}
+			return a.print(fmt.Sprintf("valid: %d rows, digest %s\n", t.Rows(), t.Digest()),
+				map[string]any{"valid": true, "rows": t.Rows(), "digest": t.Digest().String()})
+		},
+	}
+	f.flags(cmd, true)
+	return cmd
+}
+
+// editFlags adds the flags of commands that publish an edit.
+func (a *app) editFlags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&a.author, "author", a.user(), "author that the edit names")
+	cmd.Flags().StringVar(&a.note, "note", "", "reason that the edit names")
+}
+
+// user returns the name of the user from the environment.
+func (a *app) user() string {
+	for _, item := range a.env.Variables {
+		if name, ok := strings.CutPrefix(item, "USER="); ok {
+			return name
+		}
+	}
+	return ""
+}
+
+func (a *app) publishCommand() *cobra.Command {
+	var f files
+	var base uint64
+	var wait bool
+	var limit time.Duration
+	cmd := &cobra.Command{
+		Use:   "publish --routes FILE --pools FILE",
+		Short: "Make both files the current tables",
+		Long: "Make both files the current tables. Rows that the files lack are removed, also keys and\n" +
+			"drains that were added with 'key' and 'drain'; start from the output of 'show'.\n" +
+			"The edit is refused if another one is accepted first. With --base, it is also refused if\n" +
+			"the tables are not at that version any more.",
+		Example: "  tarragonctl publish --routes routes.ini --pools pools.ini --note 'more burst for alpha'\n  tarragonctl publish --routes routes.ini --pools pools.ini --base 41 --wait",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			target, err := f.parse()
+			if err != nil {
+				return err
+			}
+			s, err := a.open(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if current := s.reader.Version(); cmd.Flags().Changed("base") && current != tables.Version(base) {
+				return refused(fmt.Sprintf("the current version is %d, not %d", current, base), nil,
+					fmt.Sprintf("review 'tarragonctl diff %d', then publish on the current version", base))
+			}
+			result, err := s.publish(cmd.Context(), edit{author: a.author, note: a.note, attempts: 1,
+				changes: func(current *tables.Tables) ([]tables.Change, error) { return tables.Diff(current, target), nil }})
+			if err != nil {
+				return err
+			}
+			return a.finishPublish(cmd.Context(), s, result, wait, limit)
+		},
+	}
+	f.flags(cmd, true)
+	a.editFlags(cmd)
+	cmd.Flags().Uint64Var(&base, "base", 0, "version that the files are based on")
+	cmd.Flags().BoolVar(&wait, "wait", false, "report when each daemon has the version in force")
+	cmd.Flags().DurationVar(&limit, "wait-timeout", 15*time.Second, "longest time for --wait")
+	a.daemonFlag(cmd)
+	return cmd
+}
+
+func (a *app) finishPublish(ctx context.Context, s *session, result *published, wait bool, limit time.Duration) error {
+	type output struct {
+		*published
+		InForce []inForce `json:"in_force,omitempty"`
+	}
+	out := output{published: result}
+	text := fmt.Sprintf("version %d accepted at offset %d\n%s", result.Version, result.Offset, formatChanges(result.Changes))
+	if !result.Changed {
+		text = fmt.Sprintf("version %d already has these tables\n", result.Version)
+	}
+	if !wait {
+		return a.print(text, out)
+	}
+	ports, err := a.adminPorts(ctx, s.log)
+	if err != nil {
+		_ = a.print(text, out)
+		return unknown(fmt.Sprintf("version %d is accepted, but it is not known where it is in force", result.Version), err, "")
+	}
+	all := false
+	out.InForce, all = a.waitInForce(ctx, ports, result.Version, limit)
+	if err := a.print(text+formatInForce(out.InForce), out); err != nil {
+		return err
+	}
+	if !all {
+		return unknown(fmt.Sprintf("version %d is accepted, but not seen in force on all daemons", result.Version), nil, "check the daemons named above with 'tarragonctl status'")
+	}
+	return nil
+}
+
+func (a *app) daemonFlag(cmd *cobra.Command) {
+	cmd.Flags().StringSliceVar(&a.daemons, "daemon", nil, "admin port IP:port of a daemon to ask; may be repeated (default: [daemons] admin, or all members that the log names)")
+}
+
+func parseVersion(text string) (*tables.Version, error) {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, usage("version "+text, nil, "use a whole number")
+	}
+	v := tables.Version(n)
+	return &v, nil
+}
+
+func (a *app) showCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "show [VERSION]",
+		Short:   "Print both tables, as of a version or the current ones",
+		Example: "  tarragonctl show\n  tarragonctl show 41 --output json",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var at *tables.Version
+			var err error
+			if len(args) > 0 {
+				if at, err = parseVersion(args[0]); err != nil {
+					return err
+				}
+			}
+			s, err := a.open(cmd.Context())
+			if err != nil {
+				return err
+			}
+			t, version, err := s.tablesAt(at)
+			if err != nil {
+				return err
+			}
+			routes, pools := t.Format()
+			text := fmt.Sprintf("# version %d, digest %s\n# routes\n%s\n# pools\n%s", version, t.Digest(), routes, pools)
+			return a.print(text, map[string]any{"version": version, "digest": t.Digest().String(), "routes": string(routes), "pools": string(pools)})
+		},
+	}
+}
+
+func (a *app) diffCommand() *cobra.Command {
+	var f files
+	cmd := &cobra.Command{
+		Use:     "diff FROM [TO] | diff --routes FILE --pools FILE [FROM]",
+		Short:   "Print the row changes between two versions, or from a version to files",
+		Long:    "Print the row changes from version FROM to version TO (default: the current one), or from\na version (default: the current one) to the files.",
+		Example: "  tarragonctl diff 41\n  tarragonctl diff 41 43\n  tarragonctl diff --routes routes.ini --pools pools.ini",
+		Args:    cobra.MaximumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			versions := make([]*tables.Version, 2)
+			for i, arg := range args {
+				v, err := parseVersion(arg)
+				if err != nil {
+					return err
+				}
+				versions[i] = v
+			}
+			if withFiles := f.routes != ""; withFiles && len(args) > 1 || !withFiles && len(args) == 0 {
+				return usage("diff needs two states to compare", nil, "give FROM [TO], or --routes and --pools with at most FROM")
+			}
+			from, to, err := a.diffSides(cmd.Context(), f, versions)
+			if err != nil {
+				return err
+			}
+			changes := viewChanges(from, tables.Diff(from, to))
+			return a.print(formatChanges(changes), map[string]any{"changes": changes})
+		},
+	}
+	f.flags(cmd, false)
+	return cmd
+}
+
+func (a *app) diffSides(ctx context.Context, f files, versions []*tables.Version) (from, to *tables.Tables, err error) {
+	if f.routes != "" {
+		if to, err = f.parse(); err != nil {
+			return nil, nil, err
+		}
+	}
+	s, err := a.open(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	if from, _, err = s.tablesAt(versions[0]); err == nil && to == nil {
+		to, _, err = s.tablesAt(versions[1])
+	}
+	return from, to, err
+}
+
+func (a *app) keyCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "key", Short: "Issue and withdraw keys",
+		Example: "  tarragonctl key add alpha\n  tarragonctl key withdraw - < key.txt", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_ = cmd.Help()
+			return usage("no command given", nil, "use key add or key withdraw")
+		}}
+	cmd.AddCommand(a.keyAddCommand(), a.keyWithdrawCommand())
+	return cmd
+}
+
+func (a *app) keyAddCommand() *cobra.Command {
+	var digestText string
+	cmd := &cobra.Command{
+		Use:     "add WORKSPACE",
+		Short:   "Issue a key for a workspace and print it once",
+		Long:    "Issue a key for a workspace. The key is printed once and stored nowhere; the tables hold its\nSHA-256. With --digest, the key was made elsewhere and only its SHA-256 is given.",
+		Example: "  tarragonctl key add alpha\n  tarragonctl key add alpha --digest \"$(printf %s \"$KEY\" | sha256sum | cut -d' ' -f1)\"",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			secret, digest, err := a.newKey(digestText)
+			if err != nil {
+				return err
+			}
+			result, err := a.editRows(cmd, func(current *tables.Tables) ([]tables.Change, error) {
+				if _, ok := current.Workspace(args[0]); !ok {
+					return nil, refused("there is no workspace "+args[0], nil, "add it to the pools table first")
+				}
+				if owner, ok := current.Key(digest); ok && owner != args[0] {
+					return nil, refused("the key belongs to workspace "+owner, nil, "withdraw it first, or use another key")
+				} else if ok {
+					return nil, nil
+				}
+				return []tables.Change{{Key: &tables.Key{Digest: digest, Workspace: args[0]}}}, nil
+			})
+			if err != nil {
+				if failure, ok := err.(*Failure); ok && failure.Code == ExitUnknown {
+					failure.Remedy = "look for [key " + digest.String() + "] with 'tarragonctl show'; if it is there, withdraw it and add another key"
+				}
+				return err
+			}
+			text := fmt.Sprintf("digest %s, version %d\n", digest, result.Version)
+			value := map[string]any{"digest": digest.String(), "workspace": args[0], "version": result.Version, "changed": result.Changed}
+			if secret != "" {
+				text = "key " + secret + "\n" + text
+				value["key"] = secret
+			}
+			return a.print(text, value)
+		},
+	}
+	cmd.Flags().StringVar(&digestText, "digest", "", "SHA-256 of the key in hexadecimal")
+	a.editFlags(cmd)
+	return cmd
+}
+
+// newKey returns a random key and its digest, or the given digest.
+func (a *app) newKey(digestText string) (secret string, digest tables.KeyDigest, err error) {
+	if digestText != "" {
+		digest, err = parseDigest(digestText)
+		return "", digest, err
+	}
+	random := make([]byte, keyBytes)
+	if _, err := io.ReadFull(a.env.Random, random); err != nil {
+		return "", digest, refused("no random key", err, "")
+	}
+	secret = base64.RawURLEncoding.EncodeToString(random)
+	return secret, tables.DigestKey(secret), nil
+}
+
+// parseDigest does not repeat a wrong text, since it may be a key.
+func parseDigest(text string) (tables.KeyDigest, error) {
+	digest, ok := tables.ParseKeyDigest(text)
+	if !ok {
+		return digest, usage("that is not a digest", nil, "give the SHA-256 of the key as 64 hexadecimal digits")
+	}
+	return digest, nil
+}
+
+func (a *app) keyWithdrawCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "withdraw DIGEST | withdraw -",
+		Short:   "Withdraw a key, given by its SHA-256, or the key itself on standard input",
+		Example: "  tarragonctl key withdraw 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\n  tarragonctl key withdraw - < key.txt",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			digest, err := a.digestArgument(args[0])
+			if err != nil {
+				return err
+			}
+			result, err := a.editRows(cmd, func(current *tables.Tables) ([]tables.Change, error) {
+				if _, ok := current.Key(digest); !ok {
+					return nil, refused("the tables have no key "+digest.String(), nil, "check the digest with 'tarragonctl show'")
+				}
+				return []tables.Change{{Remove: &tables.RowRef{Kind: tables.KindKey, Name: digest.String()}}}, nil
+			})
+			if err != nil {
+				return err
+			}
+			return a.print(fmt.Sprintf("withdrawn, version %d\n", result.Version),
+				map[string]any{"digest": digest.String(), "version": result.Version, "changed": result.Changed})
+		},
+	}
+	a.editFlags(cmd)
+	return cmd
+}
+
+func (a *app) digestArgument(text string) (tables.KeyDigest, error) {
+	if text != "-" {
+		return parseDigest(text)
+	}
+	line, err := bufio.NewReader(io.LimitReader(a.env.Stdin, 4096)).ReadString('\n')
+	key := strings.TrimRight(line, "\r\n")
+	if key == "" {
+		return tables.KeyDigest{}, usage("no key on standard input", err, "give the key in one line")
+	}
+	return tables.DigestKey(key), nil
+}
+
+// editRows publishes changes of single rows; they are made again on the newer
+// version if another edit is accepted first.
+func (a *app) editRows(cmd *cobra.Command, changes func(*tables.Tables) ([]tables.Change, error)) (*published, error) {
+	s, err := a.open(cmd.Context())
+	if err != nil {
+		return nil, err
+	}
+	return s.publish(cmd.Context(), edit{author: a.author, note: a.note, attempts: maxEditAttempts, changes: changes})
+}
+
+func (a *app) drainCommand() *cobra.Command {
+	var undo bool
+	cmd := &cobra.Command{
+		Use:     "drain NAME",
+		Short:   "Take a backend server out of use for new work",
+		Example: "  tarragonctl drain shop-7 --note 'disk errors'\n  tarragonctl drain shop-7 --undo",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if !tables.ValidName(args[0]) {
+				return usage("the name "+strconv.Quote(args[0])+" is not valid", nil, "use 1 to 64 characters of a-z, 0-9, '.', '_' and '-'")
+			}
+			result, err := a.editRows(cmd, func(current *tables.Tables) ([]tables.Change, error) {
+				if row, ok := current.Server(args[0]); ok && row.Drain == !undo || !ok && undo {
+					return nil, nil
+				}
+				return []tables.Change{{Server: &tables.Server{Name: args[0], Drain: !undo}}}, nil
+			})
+			if err != nil {
+				return err
+			}
+			state := map[bool]string{false: "draining", true: "in use"}[undo]
+			return a.print(fmt.Sprintf("%s is %s, version %d\n", args[0], state, result.Version),
+				map[string]any{"server": args[0], "drain": !undo, "version": result.Version, "changed": result.Changed})
+		},
+	}
+	cmd.Flags().BoolVar(&undo, "undo", false, "put the server into use again")
+	a.editFlags(cmd)
+	return cmd
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "status",
+		Short:   "Print the state of the log and of the daemons",
+		Example: "  tarragonctl status\n  tarragonctl status --daemon 10.0.0.7:7423 --output json",
+		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return a.status(cmd.Context()) },
+	}
+	a.daemonFlag(cmd)
+	return cmd
+}
+
+// status asks the daemons even if the log cannot be read.
+func (a *app) status(ctx context.Context) error {
+	control, err := a.settings()
+	if err != nil {
+		return err
+	}
+	log := a.env.OpenLog(control.Platform.Address.String())
+	ports, err := a.adminPorts(ctx, log)
+	if err != nil {
+		return err
+	}
+	list := a.ask(ctx, ports)
+	var b strings.Builder
+	failed := 0
+	for _, d := range list {
+		if d.Error != "" {
+			failed++
+			fmt.Fprintf(&b, "%s  no answer: %s\n", d.Admin, d.Error)
+			continue
+		}
+		fmt.Fprintf(&b, "%s  %s  incarnation %d  version %d  offset %d\n", d.Admin, d.Member, d.Incarnation, d.Version, d.Offset)
+	}
+	out := map[string]any{"daemons": list}
+	s, logErr := a.open(ctx)
+	if logErr == nil {
+		fmt.Fprintf(&b, "log  version %d  next offset %d\n", s.reader.Version(), s.reader.Next())
+		out["log"] = map[string]any{"version": s.reader.Version(), "next": s.reader.Next()}
+	}
+	if err := a.print(b.String(), out); err != nil {
+		return err
+	}
+	if logErr != nil {
+		return logErr
+	}
+	if failed > 0 {
+		return refused(fmt.Sprintf("%d of %d daemons did not answer", failed, len(list)), nil, "check these hosts and their admin ports")
+	}
+	return nil
+}
+
+func (a *app) versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "version",
+		Short:   "Print the release of tarragonctl",
+		Example: "  tarragonctl version",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			release, goVersion := "unknown", "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				release, goVersion = info.Main.Version, info.GoVersion
+			}
+			return a.print("tarragonctl "+release+" ("+goVersion+")\n", map[string]string{"release": release, "go": goVersion})
+		},
+	}
+}
--- /dev/null
+++ b/internal/process/operator/daemons.go
@@ -0,0 +1,204 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+const (
+	maxStatusBytes = 256 << 10
+	// maxParallel bounds the requests to admin ports at a time.
+	maxParallel = 32
+	waitPoll    = 200 * time.Millisecond
+)
+
+// Member is what a record of the "members" stream says about a daemon.
+type Member struct {
+	Name        string
+	Incarnation uint64
+	Admin       netip.AddrPort
+	Left        bool
+}
+
+// daemonStatus is the answer of GET /status on an admin port.
+type daemonStatus struct {
+	Member      string          `json:"member,omitempty"`
+	Incarnation uint64          `json:"incarnation,omitempty"`
+	Version     tables.Version  `json:"version"`
+	Offset      platform.Offset `json:"offset"`
+	Admin       string          `json:"admin"`
+	Error       string          `json:"error,omitempty"`
+	// Report is the complete answer.
+	Report json.RawMessage `json:"report,omitempty"`
+}
+
+// adminPorts returns the ports of the flags, of the settings, or of the
+// members that the log names, in this order.
+func (a *app) adminPorts(ctx context.Context, log platform.Log) ([]string, error) {
+	if len(a.daemons) > 0 {
+		for _, d := range a.daemons {
+			if _, err := netip.ParseAddrPort(d); err != nil {
+				return nil, usage("--daemon "+d, err, "use IP:port of the daemon's admin port")
+			}
+		}
+		return a.daemons, nil
+	}
+	control, err := a.settings()
+	if err != nil {
+		return nil, err
+	}
+	if len(control.Daemons.Admin) > 0 {
+		var ports []string
+		for _, p := range control.Daemons.Admin {
+			ports = append(ports, p.String())
+		}
+		return ports, nil
+	}
+	if a.env.DecodeMember == nil {
+		return nil, usage("no daemons are known", nil, "give --daemon IP:port or the setting [daemons] admin")
+	}
+	return a.membersFromLog(ctx, log)
+}
+
+// membersFromLog returns the admin ports of the members that have not left.
+func (a *app) membersFromLog(ctx context.Context, log platform.Log) ([]string, error) {
+	newest := map[string]Member{}
+	for from := platform.Offset(0); ; {
+		batch, err := log.Read(ctx, platform.StreamMembers, from, readLimit, 0)
+		if err != nil {
+			return nil, refused("the members cannot be read", err, "give --daemon IP:port, or check the platform")
+		}
+		for _, record := range batch.Records {
+			from = record.Offset + 1
+			if m, ok := a.env.DecodeMember(record.Data); ok && m.Incarnation >= newest[m.Name].Incarnation {
+				newest[m.Name] = m
+			}
+		}
+		if len(batch.Records) == 0 || from >= batch.Next {
+			break
+		}
+	}
+	var ports []string
+	for _, m := range newest {
+		if !m.Left && m.Admin.IsValid() {
+			ports = append(ports, m.Admin.String())
+		}
+	}
+	slices.Sort(ports)
+	if len(ports) == 0 {
+		return nil, refused("the log names no daemons", nil, "give --daemon IP:port")
+	}
+	return ports, nil
+}
+
+// ask returns the status of each daemon, ordered by member name and address.
+func (a *app) ask(ctx context.Context, ports []string) []daemonStatus {
+	list := make([]daemonStatus, len(ports))
+	slots := make(chan struct{}, maxParallel)
+	var group sync.WaitGroup
+	for i, port := range ports {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			list[i] = a.askOne(ctx, port)
+		})
+	}
+	group.Wait()
+	slices.SortFunc(list, func(x, y daemonStatus) int {
+		return cmp.Or(cmp.Compare(x.Member, y.Member), cmp.Compare(x.Admin, y.Admin))
+	})
+	return list
+}
+
+func (a *app) askOne(ctx context.Context, port string) daemonStatus {
+	status := daemonStatus{Admin: port}
+	body, err := a.fetch(ctx, "http://"+port+"/status")
+	if err == nil {
+		err = json.Unmarshal(body, &status)
+		status.Report = body
+	}
+	status.Admin = port
+	if err != nil {
+		return daemonStatus{Admin: port, Error: err.Error()}
+	}
+	return status
+}
+
+func (a *app) fetch(ctx context.Context, url string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := a.env.Get(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", response.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
+}
+
+// inForce tells when a daemon was seen to have a version in force.
+type inForce struct {
+	Member  string         `json:"member,omitempty"`
+	Admin   string         `json:"admin"`
+	Version tables.Version `json:"version"`
+	AfterMS int64          `json:"after_ms"` // since the wait began; -1 if not seen
+	Error   string         `json:"error,omitempty"`
+}
+
+// waitInForce asks the daemons until all have the version or the time is over.
+func (a *app) waitInForce(ctx context.Context, ports []string, version tables.Version, limit time.Duration) (reports []inForce, all bool) {
+	start := a.env.Now()
+	missing := slices.Clone(ports)
+	for {
+		last := a.ask(ctx, missing)
+		missing = nil
+		var late []inForce
+		for _, d := range last {
+			report := inForce{Member: d.Member, Admin: d.Admin, Version: d.Version, AfterMS: a.env.Now().Sub(start).Milliseconds(), Error: d.Error}
+			if d.Error == "" && d.Version >= version {
+				reports = append(reports, report)
+				continue
+			}
+			report.AfterMS = -1
+			missing, late = append(missing, d.Admin), append(late, report)
+		}
+		if len(missing) == 0 {
+			return reports, true
+		}
+		if ctx.Err() != nil || a.env.Now().Sub(start) >= limit {
+			return append(reports, late...), false
+		}
+		a.env.Sleep(ctx, waitPoll)
+	}
+}
+
+func formatInForce(reports []inForce) string {
+	var b strings.Builder
+	for _, r := range reports {
+		switch {
+		case r.Error != "":
+			fmt.Fprintf(&b, "%s  not known: %s\n", r.Admin, r.Error)
+		case r.AfterMS < 0:
+			fmt.Fprintf(&b, "%s  %s  still at version %d\n", r.Admin, r.Member, r.Version)
+		default:
+			fmt.Fprintf(&b, "%s  %s  version %d in force, seen after %d ms\n", r.Admin, r.Member, r.Version, r.AfterMS)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/process/operator/operator.go
@@ -0,0 +1,187 @@
+// Package operator holds the commands of tarragonctl.
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	mathrand "math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+	"tarragonshore.example/tarragonshore/internal/process/settings"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// Exit codes of tarragonctl.
+const (
+	ExitDone    = 0
+	ExitRefused = 1
+	ExitUsage   = 2
+	// ExitUnknown: the change may or may not be in force, or not everywhere.
+	ExitUnknown = 3
+)
+
+// Environment is what the commands use of the outside world.
+type Environment struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	// Variables are "NAME=value" items, as from os.Environ.
+	Variables []string
+	// OpenLog returns the log of the platform at an address.
+	OpenLog func(address string) platform.Log
+	// Get fetches a URL; the body is bounded by the caller.
+	Get func(request *http.Request) (*http.Response, error)
+	// DecodeMember reads a record of the "members" stream. If it is nil, the
+	// admin ports must be given.
+	DecodeMember func(record []byte) (Member, bool)
+	Now          func() time.Time
+	// Sleep waits, or returns early if the context ends.
+	Sleep  func(ctx context.Context, d time.Duration)
+	Random io.Reader
+	Rand   *mathrand.Rand
+}
+
+// statusTimeout bounds one request to an admin port.
+const statusTimeout = 2 * time.Second
+
+// System returns the environment of a real process.
+func System() Environment {
+	client := &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return Environment{
+		Stdin:     os.Stdin,
+		Stdout:    os.Stdout,
+		Stderr:    os.Stderr,
+		Variables: os.Environ(),
+		OpenLog:   func(address string) platform.Log { return platform.NewClient(address, 0) },
+		Get:       client.Do,
+		Now:       time.Now,
+		Sleep: func(ctx context.Context, d time.Duration) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(d):
+			}
+		},
+		Random: rand.Reader,
+		Rand:   mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
+	}
+}
+
+// Failure is an error with an exit code and a remedy.
+type Failure struct {
+	Code   int
+	Detail string
+	Remedy string
+	Err    error
+}
+
+// Error names the cause and the remedy.
+func (f *Failure) Error() string {
+	text := f.Detail
+	if f.Err != nil {
+		text += ": " + f.Err.Error()
+	}
+	if f.Remedy != "" {
+		text += "; remedy: " + f.Remedy
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+func refused(detail string, err error, remedy string) error {
+	return &Failure{Code: ExitRefused, Detail: detail, Err: err, Remedy: remedy}
+}
+
+func usage(detail string, err error, remedy string) error {
+	return &Failure{Code: ExitUsage, Detail: detail, Err: err, Remedy: remedy}
+}
+
+func unknown(detail string, err error, remedy string) error {
+	return &Failure{Code: ExitUnknown, Detail: detail, Err: err, Remedy: remedy}
+}
+
+// errConfigChecked ends a command after --check-config found no fault.
+var errConfigChecked = errors.New("the settings are valid")
+
+// Run executes the command line and returns the exit code.
+func Run(ctx context.Context, args []string, env Environment) int {
+	app := &app{env: env, output: "text"}
+	root := app.root()
+	root.SetArgs(args)
+	root.SetIn(env.Stdin)
+	root.SetOut(env.Stdout)
+	root.SetErr(env.Stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil || errors.Is(err, errConfigChecked) {
+		return ExitDone
+	}
+	var failure *Failure
+	if !errors.As(err, &failure) { // cobra's own errors are about the command line
+		failure = &Failure{Code: ExitUsage, Detail: err.Error(), Remedy: "see tarragonctl --help"}
+	}
+	app.report(failure)
+	return failure.Code
+}
+
+var codeNames = map[int]string{ExitRefused: "refused", ExitUsage: "usage", ExitUnknown: "outcome-unknown"}
+
+func (a *app) report(f *Failure) {
+	if a.output != "json" {
+		_, _ = fmt.Fprintln(a.env.Stderr, "tarragonctl: "+codeNames[f.Code]+": "+f.Error())
+		return
+	}
+	detail := f.Detail
+	if f.Err != nil {
+		detail += ": " + f.Err.Error()
+	}
+	report := map[string]any{"error": codeNames[f.Code], "detail": detail, "remedy": f.Remedy}
+	var faults tables.Errors
+	if errors.As(f.Err, &faults) {
+		report["detail"], report["faults"] = f.Detail, faults
+	}
+	_ = json.NewEncoder(a.env.Stderr).Encode(report)
+}
+
+// app holds the global flags of one run.
+type app struct {
+	env         Environment
+	config      string
+	checkConfig bool
+	output      string
+	timeout     time.Duration
+	author      string
+	note        string
+	daemons     []string
+}
+
+// print writes the result: text as it is, or value as one JSON document.
+func (a *app) print(text string, value any) error {
+	var err error
+	if a.output == "json" {
+		encoder := json.NewEncoder(a.env.Stdout)
+		encoder.SetIndent("", "  ")
+		err = encoder.Encode(value)
+	} else {
+		_, err = io.WriteString(a.env.Stdout, text)
+	}
+	if err != nil {
+		return unknown("the result cannot be written", err, "read the current state with tarragonctl show")
+	}
+	return nil
+}
+
+func (a *app) settings() (*settings.Control, error) {
+	control, err := settings.LoadControl(a.config, a.env.Variables)
+	if err != nil {
+		return nil, usage("the settings are not valid", err, "correct the settings, or choose others with --config")
+	}
+	return control, nil
+}
--- /dev/null
+++ b/internal/process/operator/operator_suite_test.go
@@ -0,0 +1,318 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/process/platform"
+	"tarragonshore.example/tarragonshore/internal/version/history"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operator")
+}
+
+const (
+	routes = "[route shop]\npath = /shop\npool = shop\n"
+	pools  = "[pool shop]\n[workspace alpha]\nrate = 10\nburst = 20\n"
+)
+
+// fakeLog is the platform in memory. Each append takes the next of the faults.
+type fakeLog struct {
+	w       *world
+	streams map[platform.Stream][][]byte
+	first   int
+	down    bool
+	faults  []string
+}
+
+func (l *fakeLog) Append(_ context.Context, stream platform.Stream, data []byte) (platform.Offset, error) {
+	fault := ""
+	if len(l.faults) > 0 {
+		fault, l.faults = l.faults[0], l.faults[1:]
+	}
+	switch fault {
+	case "refuse always":
+		l.faults = []string{fault}
+		return 0, platform.ErrRejected
+	case "refuse":
+		return 0, platform.ErrRejected
+	case "lose":
+		return 0, platform.ErrUnknown
+	case "lose and go down":
+		l.down = true
+		return 0, platform.ErrUnknown
+	case "overtake":
+		l.w.addEdit(tables.Change{Server: &tables.Server{Name: fmt.Sprint("other-", len(l.faults)), Drain: true}})
+	case "interrupt":
+		l.w.cancel()
+	}
+	l.streams[stream] = append(l.streams[stream], data)
+	if fault == "append, lose" || fault == "interrupt" {
+		return 0, platform.ErrUnknown
+	}
+	return platform.Offset(len(l.streams[stream]) - 1), nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, stream platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	l.w.now = l.w.now.Add(wait)
+	if l.down || ctx.Err() != nil {
+		return platform.Batch{}, errors.New("no answer")
+	}
+	b := platform.Batch{First: platform.Offset(l.first), Next: platform.Offset(len(l.streams[stream]))}
+	for o := max(from, b.First); o < b.Next && len(b.Records) < limit; o++ {
+		b.Records = append(b.Records, platform.Record{Offset: o, Data: l.streams[stream][o]})
+	}
+	return b, nil
+}
+
+// world is the surroundings of the commands; time passes only by waiting.
+type world struct {
+	log     *fakeLog
+	now     time.Time
+	cancel  func()
+	daemons map[string]*tables.Version // by admin port; a version rises with each question
+	dir     string
+	nextID  byte
+}
+
+func newWorld() *world {
+	w := &world{now: time.Unix(1_800_000_000, 0), dir: GinkgoT().TempDir(), daemons: map[string]*tables.Version{}}
+	w.log = &fakeLog{w: w, streams: map[platform.Stream][][]byte{}}
+	w.write("routes", routes)
+	w.write("pools", pools)
+	return w
+}
+
+func (w *world) write(name, text string) {
+	Expect(os.WriteFile(filepath.Join(w.dir, name), []byte(text), 0o600)).To(Succeed())
+}
+
+func (w *world) reader() *history.Reader {
+	r := history.NewReader(time.Hour, rand.New(rand.NewPCG(1, 1)))
+	b, _ := (&fakeLog{w: w, streams: w.log.streams}).Read(context.Background(), platform.StreamTables, 0, 1000, 0)
+	r.Apply(b, w.now)
+	return r
+}
+
+// addEdit appends an edit of somebody else.
+func (w *world) addEdit(change tables.Change) {
+	r := w.reader()
+	result, err := r.Tables().Apply([]tables.Change{change})
+	Expect(err).NotTo(HaveOccurred())
+	w.nextID++
+	e := history.Edit{Base: r.Version(), Changes: []tables.Change{change}, ID: history.EditID{w.nextID}, Result: result.Digest()}
+	data, err := e.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	w.log.streams[platform.StreamTables] = append(w.log.streams[platform.StreamTables], data)
+}
+
+func (w *world) get(r *http.Request) (*http.Response, error) {
+	version, ok := w.daemons[r.URL.Host]
+	if !ok || r.URL.Path != "/status" {
+		return nil, errors.New("connection refused")
+	}
+	body := fmt.Sprintf(`{"member":"m-%s","incarnation":5,"version":%d,"offset":2,"extra":1}`, r.URL.Port(), *version)
+	*version++
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+// run executes a command line; "@name" stands for a file of the world.
+func (w *world) run(line string, stdin ...string) (code int, stdout, stderr string) {
+	var out, errOut bytes.Buffer
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.cancel = cancel
+	env := Environment{
+		Stdin: strings.NewReader(strings.Join(stdin, "")), Stdout: &out, Stderr: &errOut,
+		Variables:    []string{"TARRAGON_PLATFORM_ADDRESS=10.0.0.1:7400", "USER=ann"},
+		OpenLog:      func(string) platform.Log { return w.log },
+		Get:          w.get,
+		DecodeMember: decodeMember,
+		Now:          func() time.Time { return w.now },
+		Sleep:        func(_ context.Context, d time.Duration) { w.now = w.now.Add(d) },
+		Random:       rand.NewChaCha8([32]byte{byte(len(w.log.streams[platform.StreamTables]))}),
+		Rand:         rand.New(rand.NewPCG(1, 2)),
+	}
+	code = Run(ctx, strings.Fields(strings.ReplaceAll(line, "@", w.dir+"/")), env)
+	return code, out.String(), errOut.String()
+}
+
+// decodeMember reads "name incarnation admin".
+func decodeMember(record []byte) (m Member, ok bool) {
+	var admin string
+	_, err := fmt.Sscan(string(record), &m.Name, &m.Incarnation, &admin)
+	m.Admin, _ = netip.ParseAddrPort(admin)
+	return m, err == nil
+}
+
+const publishLine = "publish --routes @routes --pools @pools"
+
+var _ = Describe("tarragonctl", func() {
+	var w *world
+	BeforeEach(func() { w = newWorld() })
+	ok := func(line string, stdin ...string) string {
+		GinkgoHelper()
+		code, out, errOut := w.run(line, stdin...)
+		Expect(code).To(Equal(ExitDone), errOut)
+		return out
+	}
+
+	It("publishes, shows and compares versions", func() {
+		Expect(ok("validate --routes @routes --pools @pools")).To(HavePrefix("valid: 3 rows"))
+		Expect(ok(publishLine)).To(HavePrefix("version 1 accepted at offset 0\n+ [pool shop]\n"))
+		Expect(ok(publishLine)).To(Equal("version 1 already has these tables\n"))
+		w.write("pools", strings.Replace(pools, "20", "30", 1))
+		Expect(ok("diff --routes @routes --pools @pools")).To(Equal("~ [workspace alpha]\n    burst = 20 -> 30\n"))
+		ok(publishLine + " --base 1")
+		Expect(ok("diff 1")).To(Equal("~ [workspace alpha]\n    burst = 20 -> 30\n"))
+		Expect(ok("diff 2 0")).To(ContainSubstring("- [route shop]\n"))
+		Expect(ok("show 1")).To(ContainSubstring("burst = 20"))
+		var shown struct {
+			Version       int
+			Routes, Pools string
+		}
+		Expect(json.Unmarshal([]byte(ok("show -o json")), &shown)).To(Succeed())
+		Expect(shown.Version).To(Equal(2))
+		w.write("routes", shown.Routes)
+		w.write("pools", shown.Pools)
+		Expect(ok(publishLine)).To(ContainSubstring("already"))
+	})
+
+	// Guards against a reported outcome that is not the real one.
+	DescribeTable("settles the outcome of an edit", func(code int, version tables.Version, faults ...string) {
+		ok(publishLine)
+		w.log.faults = faults
+		got, _, errOut := w.run("drain shop-1")
+		Expect(got).To(Equal(code), errOut)
+		Expect(w.reader().Version()).To(Equal(version))
+		if code == ExitDone {
+			s, _ := w.reader().Tables().Server("shop-1")
+			Expect(s.Drain).To(BeTrue())
+		} else {
+			Expect(errOut).To(ContainSubstring("; remedy: "))
+		}
+	},
+		Entry("no fault", ExitDone, tables.Version(2)),
+		Entry("answer lost, appended", ExitDone, tables.Version(2), "append, lose"),
+		Entry("answer lost, not appended", ExitDone, tables.Version(2), "lose", "refuse", "lose"),
+		Entry("other edits first", ExitDone, tables.Version(4), "overtake", "overtake"),
+		Entry("too many other edits first", ExitRefused, tables.Version(6), "overtake", "overtake", "overtake", "overtake", "overtake"),
+		Entry("interrupted after the append", ExitDone, tables.Version(2), "interrupt"),
+		Entry("platform refuses all", ExitRefused, tables.Version(1), "refuse always"),
+		Entry("platform down after the append", ExitUnknown, tables.Version(1), "lose and go down"))
+
+	It("refuses to publish on another version than the base", func() {
+		ok(publishLine)
+		w.write("pools", pools+"[server a]\n")
+		code, _, errOut := w.run(publishLine + " --base 0")
+		Expect(code).To(Equal(ExitRefused))
+		Expect(errOut).To(ContainSubstring("the current version is 1, not 0"))
+		w.log.faults = []string{"overtake"}
+		code, _, errOut = w.run(publishLine)
+		Expect(code).To(Equal(ExitRefused))
+		Expect(errOut).To(ContainSubstring("another edit was accepted first"))
+		_, found := w.reader().Tables().Server("other-0")
+		Expect(found).To(BeTrue(), "the other edit stays")
+	})
+
+	It("issues and withdraws keys", func() {
+		ok(publishLine)
+		fields := strings.Fields(ok("key add alpha"))
+		key, digest := fields[1], strings.TrimSuffix(fields[3], ",")
+		Expect(tables.DigestKey(key).String()).To(Equal(digest))
+		Expect(key).To(HaveLen(43))
+		owner, _ := w.reader().Tables().Key(tables.DigestKey(key))
+		Expect(owner).To(Equal("alpha"))
+		Expect(ok("show")).NotTo(ContainSubstring(key))
+		ok("key withdraw -", key+"\n")
+		Expect(w.reader().Tables().Keys()).To(BeEmpty())
+		code, _, _ := w.run("key withdraw " + digest)
+		Expect(code).To(Equal(ExitRefused))
+		Expect(ok("key add alpha --digest " + digest)).NotTo(ContainSubstring("key "))
+		ok("key withdraw " + digest)
+	})
+
+	It("drains and undoes it once", func() {
+		ok(publishLine)
+		Expect(ok("drain shop-1")).To(Equal("shop-1 is draining, version 2\n"))
+		Expect(ok("drain shop-1")).To(Equal("shop-1 is draining, version 2\n"))
+		Expect(ok("drain shop-1 --undo")).To(Equal("shop-1 is in use, version 3\n"))
+		Expect(ok("drain shop-2 --undo")).To(Equal("shop-2 is in use, version 3\n"))
+	})
+
+	It("waits until all members of the log have the version", func() {
+		one, zero := tables.Version(1), tables.Version(0)
+		w.daemons["10.0.0.7:1"], w.daemons["10.0.0.7:2"] = &one, &zero
+		w.log.streams[platform.StreamMembers] = [][]byte{[]byte("a 1 10.0.0.7:9"), []byte("b 1 10.0.0.7:2"), []byte("?"), []byte("a 2 10.0.0.7:1")}
+		out := ok(publishLine + " --wait")
+		Expect(out).To(ContainSubstring("10.0.0.7:1  m-1  version 1 in force, seen after 0 ms\n10.0.0.7:2  m-2  version 1 in force, seen after 200 ms\n"))
+		Expect(ok("status -o json")).To(ContainSubstring(`"extra": 1`))
+		code, out, errOut := w.run(publishLine + " --wait --daemon 10.0.0.7:3")
+		Expect(code).To(Equal(ExitUnknown))
+		Expect(out + errOut).To(ContainSubstring("10.0.0.7:3  not known: connection refused"))
+		code, _, _ = w.run("status --daemon 10.0.0.7:3")
+		Expect(code).To(Equal(ExitRefused))
+	})
+
+	// Guards against a reader that starts without the records before the retained ones.
+	It("refuses to work without a sufficient snapshot", func() {
+		ok(publishLine)
+		ok("drain a")
+		w.log.first = 1
+		code, _, errOut := w.run("show")
+		Expect(code).To(Equal(ExitRefused))
+		Expect(errOut).To(ContainSubstring("no sufficient snapshot"))
+	})
+
+	// Guards against exit codes that scripts misread, and against messages that
+	// repeat a secret or lack a remedy.
+	DescribeTable("refuses with the right code", func(line string, code int, text string) {
+		ok(publishLine)
+		w.write("bad", "[pool x]\nrate = 1\nretry_ratio = 2\n[key s3cret]\n")
+		got, _, errOut := w.run(line)
+		Expect(got).To(Equal(code), errOut)
+		Expect(errOut).To(And(ContainSubstring(text), Not(ContainSubstring("s3cret"))))
+	},
+		Entry(nil, "", ExitUsage, "no command given"),
+		Entry(nil, "frob", ExitUsage, "unknown command"),
+		Entry(nil, "show 1 2", ExitUsage, "at most 1 arg"),
+		Entry(nil, "show x", ExitUsage, "use a whole number"),
+		Entry(nil, "show 7", ExitRefused, "use a version from 0 to 1"),
+		Entry(nil, "show --output xml", ExitUsage, "use text or json"),
+		Entry(nil, "show --frob", ExitUsage, "unknown flag"),
+		Entry(nil, "show --config @none", ExitUsage, "unreadable-file"),
+		Entry(nil, "diff", ExitUsage, "two states"),
+		Entry(nil, "validate --routes @routes", ExitUsage, "pools"),
+		Entry(nil, "validate --routes @routes --pools @none", ExitUsage, "cannot be read"),
+		Entry(nil, "validate --routes @routes --pools @bad -o json", ExitRefused, `"key":"rate"`),
+		Entry(nil, "key add beta", ExitRefused, "no workspace beta"),
+		Entry(nil, "key withdraw s3cret", ExitUsage, "64 hexadecimal digits"),
+		Entry(nil, "drain A", ExitUsage, "is not valid"),
+		Entry(nil, "status --daemon x", ExitUsage, "IP:port"),
+		Entry(nil, "status", ExitRefused, "the log names no daemons"))
+
+	It("has help with examples, completion and a check of the settings", func() {
+		Expect(ok("publish --help")).To(ContainSubstring("Examples:"))
+		Expect(ok("completion bash")).To(ContainSubstring("tarragonctl"))
+		Expect(ok("--check-config")).To(Equal("the settings are valid\n"))
+		Expect(ok("version")).To(HavePrefix("tarragonctl "))
+	})
+})
--- a/internal/version/history/publisher.go
+++ b/internal/version/history/publisher.go
@@ -117,6 +117,13 @@
 	return p.step
 }
 
+// GiveUp ends the publishing before the deadline.
+func (p *Publisher) GiveUp() {
+	if p.step != StepDone {
+		p.expire()
+	}
+}
+
 func (p *Publisher) expire() {
 	if p.inDoubt {
 		p.finish(OutcomeUnknown)
--- a/internal/version/tables/errors.go
+++ b/internal/version/tables/errors.go
@@ -36,14 +36,14 @@
 
 // Error is one fault of the tables.
 type Error struct {
-	Reason Reason
-	Table  Table
+	Reason Reason `json:"reason"`
+	Table  Table  `json:"table"`
 	// Section is the text between the brackets; empty if the fault is not in one.
-	Section string
+	Section string `json:"section,omitempty"`
 	// Key is the name of the setting in the section; empty if none is at fault.
-	Key    string
-	Value  string
-	Remedy string
+	Key    string `json:"key,omitempty"`
+	Value  string `json:"value,omitempty"`
+	Remedy string `json:"remedy"`
 }
 
 // Error names table, section, key, value and remedy in one line.
--- a/internal/version/tables/format.go
+++ b/internal/version/tables/format.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"strconv"
 	"strings"
 )
@@ -13,49 +12,69 @@
 func (t *Tables) Format() (routes, pools []byte) {
 	var r, p bytes.Buffer
 	for i := range t.rows.keys {
-		k := &t.rows.keys[i]
-		writeSection(&r, k.ref(), "workspace", k.Workspace)
+		writeSection(&r, Change{Key: &t.rows.keys[i]})
 	}
 	for i := range t.rows.routes {
-		route := &t.rows.routes[i]
-		writeSection(&r, route.ref(),
-			"path", route.PathPrefix,
-			"methods", strings.Join(route.Methods, ", "),
-			"pool", route.Pool,
-			"idempotent", strconv.FormatBool(route.Idempotent),
-			"importance", strconv.Itoa(int(route.Importance)),
-			"timeout", route.Timeout.String(),
-			"credits", strconv.Itoa(route.Credits),
-			"open", strconv.FormatBool(route.Open),
-			"workspaces", strings.Join(route.Workspaces, ", "),
-			"max_body", strconv.FormatInt(route.MaxBodyBytes, 10))
+		writeSection(&r, Change{Route: &t.rows.routes[i]})
 	}
 	for i := range t.rows.pools {
-		pool := &t.rows.pools[i]
-		writeSection(&p, pool.ref(), "warm_up", pool.WarmUp.String(), "retry_ratio", formatFloat(pool.RetryRatio))
+		writeSection(&p, Change{Pool: &t.rows.pools[i]})
 	}
 	for i := range t.rows.servers {
-		s := &t.rows.servers[i]
-		writeSection(&p, s.ref(), "drain", strconv.FormatBool(s.Drain))
+		writeSection(&p, Change{Server: &t.rows.servers[i]})
 	}
 	for i := range t.rows.workspaces {
-		w := &t.rows.workspaces[i]
-		writeSection(&p, w.ref(), "rate", formatFloat(w.Rate), "burst", strconv.Itoa(w.Burst))
+		writeSection(&p, Change{Workspace: &t.rows.workspaces[i]})
 	}
 	return r.Bytes(), p.Bytes()
 }
 
+// Pair is a setting of a row in canonical form. The value is empty if the
+// setting is left out.
+type Pair struct{ Key, Value string }
+
+// Settings returns the settings of the row that is put, in canonical order;
+// none for a removal.
+func (c Change) Settings() []Pair {
+	switch {
+	case c.Key != nil:
+		return []Pair{{"workspace", c.Key.Workspace}}
+	case c.Route != nil:
+		r := c.Route
+		return []Pair{
+			{"path", r.PathPrefix},
+			{"methods", strings.Join(r.Methods, ", ")},
+			{"pool", r.Pool},
+			{"idempotent", strconv.FormatBool(r.Idempotent)},
+			{"importance", strconv.Itoa(int(r.Importance))},
+			{"timeout", r.Timeout.String()},
+			{"credits", strconv.Itoa(r.Credits)},
+			{"open", strconv.FormatBool(r.Open)},
+			{"workspaces", strings.Join(r.Workspaces, ", ")},
+			{"max_body", strconv.FormatInt(r.MaxBodyBytes, 10)},
+		}
+	case c.Pool != nil:
+		return []Pair{{"warm_up", c.Pool.WarmUp.String()}, {"retry_ratio", formatFloat(c.Pool.RetryRatio)}}
+	case c.Server != nil:
+		return []Pair{{"drain", strconv.FormatBool(c.Server.Drain)}}
+	case c.Workspace != nil:
+		return []Pair{{"rate", formatFloat(c.Workspace.Rate)}, {"burst", strconv.Itoa(c.Workspace.Burst)}}
+	}
+	return nil
+}
+
 func formatFloat(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
 
 // writeSection writes a row; settings with an empty value are left out.
-func writeSection(b *bytes.Buffer, ref RowRef, pairs ...string) {
+func writeSection(b *bytes.Buffer, row Change) {
 	if b.Len() > 0 {
 		b.WriteByte('\n')
 	}
-	fmt.Fprintf(b, "[%s]\n", ref.section())
-	for i := 0; i < len(pairs); i += 2 {
-		if pairs[i+1] != "" {
-			fmt.Fprintf(b, "%s = %s\n", pairs[i], pairs[i+1])
+	ref, _ := row.Ref()
+	b.WriteString("[" + ref.section() + "]\n")
+	for _, pair := range row.Settings() {
+		if pair.Value != "" {
+			b.WriteString(pair.Key + " = " + pair.Value + "\n")
 		}
 	}
 }
--- a/internal/version/tables/parse.go
+++ b/internal/version/tables/parse.go
@@ -91,7 +91,11 @@
 func (p *parser) section(table Table, section *ini.Section, seen map[RowRef]bool) {
 	words := strings.Fields(section.Name())
 	if len(words) != 2 || sectionKeys[RowKind(words[0])] == nil || RowKind(words[0]).Table() != table {
-		p.faults = append(p.faults, &Error{Reason: ReasonUnknownSection, Table: table, Section: section.Name(), Remedy: knownSections(table)})
+		shown := section.Name()
+		if len(words) > 0 && words[0] == string(KindKey) {
+			shown = hiddenKey(shown)
+		}
+		p.faults = append(p.faults, &Error{Reason: ReasonUnknownSection, Table: table, Section: shown, Remedy: knownSections(table)})
 		return
 	}
 	ref := RowRef{RowKind(words[0]), words[1]}
@@ -99,9 +103,7 @@
 	if ref.Kind == KindKey {
 		digest, ok := ParseKeyDigest(ref.Name)
 		if !ok {
-			// The name may be a key that was pasted instead of its digest, so
-			// the message must not repeat it.
-			r.ref.Name = "(" + strconv.Itoa(len(ref.Name)) + " characters)"
+			r.ref.Name = strings.TrimPrefix(hiddenKey(section.Name()), "key ")
 			r.fault(ReasonBadName, "", "", "use the SHA-256 of the key as 64 hexadecimal digits")
 		}
 		ref.Name = digest.String()
@@ -127,6 +129,13 @@
 	}
 }
 
+// hiddenKey returns a key's section name without its second part, which may be
+// a key that was pasted instead of its digest; messages must not repeat it.
+func hiddenKey(section string) string {
+	rest := strings.TrimSpace(strings.TrimPrefix(strings.TrimSpace(section), string(KindKey)))
+	return string(KindKey) + " (" + strconv.Itoa(len(rest)) + " characters)"
+}
+
 func knownSections(table Table) string {
 	if table == TableRoutes {
 		return "use [route NAME] or [key SHA256HEX]"
--- a/internal/version/tables/tables_suite_test.go
+++ b/internal/version/tables/tables_suite_test.go
@@ -116,7 +116,7 @@
 		Expect(got).To(ConsistOf(want))
 	},
 		Entry("unknown sections in either table", "[pool x]\n[route]\n[rout a]", "[key x]\nq = 1",
-			"unknown-section|pool x||", "unknown-section|route||", "unknown-section|rout a||", "unknown-section|key x||"),
+			"unknown-section|pool x||", "unknown-section|route||", "unknown-section|rout a||", "unknown-section|key (1 characters)||"),
 		Entry("settings before the first section", "path = /", "", "unknown-section|DEFAULT||"),
 		Entry("syntax does not hide the other table", "[route", "[pool Ä]", "syntax|||unclosed section: [route", "bad-name|pool Ä||Ä"),
 		Entry("unknown and duplicate settings", "", "[pool a]\nwarmup = 1s\nretry_ratio = 0\nretry_ratio = 0",
