Do not take an older answer of the platform for the stream's end

Change: AtEnd is false and a Behind event is given until an answer reaches the known records again; tarragonctl pauses after a read without progress and stops at its deadline. The state machine gained older answers as an action. Measured before: AtEnd true after such an answer. After: false.

Conclusion: an older answer can delay freshness but not fake it.

--- a/internal/process/operator/commands.go
+++ b/internal/process/operator/commands.go
@@ -233,7 +233,7 @@
 					return err
 				}
 			}
-			s, err := a.open(cmd.Context())
+			s, err := a.openReplay(cmd.Context(), at != nil)
 			if err != nil {
 				return err
 			}
@@ -286,7 +286,7 @@
 			return nil, nil, err
 		}
 	}
-	s, err := a.open(ctx)
+	s, err := a.openReplay(ctx, versions[0] != nil)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/process/operator/operator_suite_test.go
+++ b/internal/process/operator/operator_suite_test.go
@@ -56,6 +56,9 @@
 		return 0, platform.ErrRejected
 	case "lose":
 		return 0, platform.ErrUnknown
+	case "append, lose the stream":
+		l.streams[stream] = nil
+		return 0, platform.ErrUnknown
 	case "lose and go down":
 		l.down = true
 		return 0, platform.ErrUnknown
@@ -217,6 +220,7 @@
 		Entry("too many other edits first", ExitRefused, tables.Version(6), "overtake", "overtake", "overtake", "overtake", "overtake"),
 		Entry("interrupted after the append", ExitDone, tables.Version(2), "interrupt"),
 		Entry("platform refuses all", ExitRefused, tables.Version(1), "refuse always"),
+		Entry("the stream lost after the append", ExitUnknown, tables.Version(0), "append, lose the stream"),
 		Entry("platform down after the append", ExitUnknown, tables.Version(1), "lose and go down"))
 
 	It("refuses to publish on another version than the base", func() {
--- a/internal/process/operator/session.go
+++ b/internal/process/operator/session.go
@@ -13,9 +13,8 @@
 
 const (
 	readLimit = 256
-	// gapPollWait is the wait of a read while the stream lacks a sufficient snapshot.
-	gapPollWait = 200 * time.Millisecond
-	readRetry   = 250 * time.Millisecond
+	// readRetry is the pause after a read that failed or brought nothing new.
+	readRetry = 250 * time.Millisecond
 	// maxEditAttempts bounds how often an edit of single rows is made again
 	// after another edit was accepted first.
 	maxEditAttempts = 5
@@ -31,7 +30,14 @@
 	deadline time.Time
 }
 
+// open returns a session at the current version.
 func (a *app) open(ctx context.Context) (*session, error) {
+	return a.openReplay(ctx, false)
+}
+
+// openReplay returns a session at the current version. With all, it also
+// knows the versions before the newest snapshot, as far as the log goes.
+func (a *app) openReplay(ctx context.Context, all bool) (*session, error) {
 	control, err := a.settings()
 	if err != nil {
 		return nil, err
@@ -42,34 +48,46 @@
 		reader:   history.NewReader(0, a.env.Rand), // appends no snapshots, so the retention time does not matter
 		deadline: a.env.Now().Add(a.timeout),
 	}
+	if all {
+		s.reader.ReplayAll()
+	}
 	return s, s.catchUp(ctx)
 }
 
+// errBehind tells that the platform's answers lack records that it gave before.
+var errBehind = errors.New("the platform's answers lack records that are known")
+
 // catchUp reads the stream to its end.
 func (s *session) catchUp(ctx context.Context) error {
 	for {
-		_, err := s.read(ctx, 0)
+		_, progress, err := s.read(ctx)
 		switch {
 		case err == nil && s.reader.NeedsPeer():
 			return refused("the log holds no sufficient snapshot of the tables", nil,
 				"start a daemon or wait for one to append a snapshot; if no daemon has the tables, they are lost")
 		case err == nil && s.reader.AtEnd():
 			return nil
-		case err == nil:
+		case err == nil && progress:
 			continue
-		case ctx.Err() != nil || !s.env.Now().Before(s.deadline):
+		case err == nil:
+			err = errBehind
+		}
+		if ctx.Err() != nil || !s.env.Now().Before(s.deadline) {
 			return refused("the tables cannot be read", err, "check the platform's address and state, then try again; nothing was changed")
 		}
 		s.env.Sleep(ctx, readRetry)
 	}
 }
 
-func (s *session) read(ctx context.Context, wait time.Duration) ([]history.Event, error) {
-	batch, err := s.log.Read(ctx, platform.StreamTables, s.reader.ReadFrom(), readLimit, wait)
+// read applies one batch; progress tells whether it brought the reader forward.
+func (s *session) read(ctx context.Context) (events []history.Event, progress bool, err error) {
+	from := s.reader.ReadFrom()
+	batch, err := s.log.Read(ctx, platform.StreamTables, from, readLimit, 0)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	return s.reader.Apply(batch, s.env.Now()), nil
+	events = s.reader.Apply(batch, s.env.Now())
+	return events, s.reader.ReadFrom() != from, nil
 }
 
 // edit describes a change to publish.
@@ -180,16 +198,15 @@
 }
 
 func (s *session) readBack(ctx context.Context, p *history.Publisher) {
-	var wait time.Duration
-	if s.reader.NeedsPeer() {
-		wait = gapPollWait
-	}
-	events, err := s.read(ctx, wait)
+	events, progress, err := s.read(ctx)
 	if err != nil {
 		p.ReadFailed(err, s.env.Now())
 		return
 	}
 	p.Observe(s.reader, events, s.env.Now())
+	if !progress && !s.reader.AtEnd() {
+		s.env.Sleep(ctx, readRetry)
+	}
 }
 
 // tablesAt returns the tables of a version, or the current ones for nil.
--- a/internal/version/history/event.go
+++ b/internal/version/history/event.go
@@ -87,6 +87,15 @@
 	First platform.Offset // the first one that is retained
 }
 
+// Behind tells that the platform answered with an earlier end of the stream
+// than before. The reader is not at the end until an answer reaches the known
+// records again; if that never happens, the stream was lost. It is reported
+// once until then.
+type Behind struct {
+	Next  platform.Offset // the end in the answer
+	Known platform.Offset // the end that was known
+}
+
 // Malformed tells that a record could not be read and has no effect.
 type Malformed struct {
 	Offset platform.Offset
@@ -98,4 +107,5 @@
 func (SnapshotAdopted) event() {}
 func (SnapshotIgnored) event() {}
 func (Gap) event()             {}
+func (Behind) event()          {}
 func (Malformed) event()       {}
--- a/internal/version/history/history_suite_test.go
+++ b/internal/version/history/history_suite_test.go
@@ -203,6 +203,16 @@
 	return map[string]func(*rapid.T){
 		"":     func(*rapid.T) { w.observe() },
 		"read": func(t *rapid.T) { w.take(t, reader(t), rapid.IntRange(1, 9).Draw(t, "limit")) },
+		"stale read": func(t *rapid.T) {
+			r := reader(t)
+			older := stream{records: w.log.records[:rapid.IntRange(w.log.first, len(w.log.records)).Draw(t, "end")], first: w.log.first}
+			before := r.Version()
+			r.Apply(older.read(r.ReadFrom(), 9), w.now)
+			w.check(t, r, before)
+			if r.AtEnd() && r.Next() < platform.Offset(len(older.records)) {
+				t.Fatalf("at the end before record %d", r.Next())
+			}
+		},
 		"wait": func(t *rapid.T) {
 			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond)
 		},
@@ -358,6 +368,40 @@
 		Expect(log.catchUp(r, start)).To(HaveExactElements(BeAssignableToTypeOf(Malformed{}), BeAssignableToTypeOf(Gap{})))
 	})
 
+	// Guards against tables that count as fresh by an answer that lacks known records.
+	It("are not at the end after an answer that is older than one before", func() {
+		var log stream
+		r := newTestReader()
+		edit := editOn(r, 1, "s")
+		log.add(record(edit.Encode), start)
+		log.catchUp(r, start)
+		Expect(r.Apply(platform.Batch{}, start)).To(HaveExactElements(Behind{Next: 0, Known: 1}))
+		Expect(r.Apply(platform.Batch{}, start)).To(BeEmpty())
+		Expect(r.AtEnd()).To(BeFalse())
+		Expect(log.catchUp(r, start)).To(BeEmpty())
+		Expect(r.AtEnd()).To(BeTrue())
+	})
+
+	It("can start from the oldest sufficient snapshot", func() {
+		var log stream
+		r := newTestReader()
+		for i := range 6 {
+			edit := editOn(r, byte(i), "s")
+			log.add(record(edit.Encode), start)
+			log.catchUp(r, start)
+			s, _ := r.Snapshot()
+			log.add(record(s.Encode), start)
+		}
+		log.first = 4
+		newest, all := newTestReader(), newTestReader()
+		all.ReplayAll()
+		log.catchUp(newest, start)
+		log.catchUp(all, start)
+		Expect(newest.Versions()).To(HaveLen(1))
+		Expect(all.Versions()).To(HaveLen(4))
+		Expect(all.Tables().Digest()).To(Equal(newest.Tables().Digest()))
+	})
+
 	It("keep the last versions", func() {
 		r := newTestReader()
 		var log stream
--- a/internal/version/history/reader.go
+++ b/internal/version/history/reader.go
@@ -60,6 +60,8 @@
 	first  platform.Offset // the highest start of the stream seen
 	end    platform.Offset // the highest end of the stream seen
 	read   bool            // true after the first batch
+	behind bool            // true if the latest batch ended before a known record
+	oldest bool            // see ReplayAll
 	repost repostPlan
 }
 
@@ -93,9 +95,14 @@
 }
 
 // AtEnd reports whether the state includes every record up to the end of the
-// stream that the latest batches gave. While it is false, tables must not
-// count as fresh.
-func (r *Reader) AtEnd() bool { return r.read && !r.scanning && r.next >= r.end }
+// stream that the latest batch gave. While it is false, tables must not count
+// as fresh.
+func (r *Reader) AtEnd() bool { return r.read && !r.scanning && !r.behind && r.next >= r.end }
+
+// ReplayAll makes a reader that has to adopt a snapshot take the oldest
+// sufficient one instead of the newest. TablesAt then knows more versions, at
+// the cost of replaying more edits. Call it before the first batch.
+func (r *Reader) ReplayAll() { r.oldest = true }
 
 // NeedsPeer reports whether only a peer's snapshot can close the gap.
 func (r *Reader) NeedsPeer() bool { return r.scanning && r.gapReported }
@@ -103,13 +110,22 @@
 // Apply takes the records of a batch in and returns what they meant, in order.
 // Records that are already part of the state have no effect.
 func (r *Reader) Apply(batch platform.Batch, now time.Time) []Event {
+	var events []Event
+	if wasBehind := r.behind; batch.Next < r.end {
+		// The answer is older than one before, or the stream was lost.
+		r.behind = true
+		if !wasBehind {
+			events = append(events, Behind{Next: batch.Next, Known: r.end})
+		}
+	} else {
+		r.behind = false
+	}
 	r.read = true
 	r.first, r.end = max(r.first, batch.First), max(r.end, batch.Next)
 	if r.first > r.next && !r.scanning {
 		r.scanning, r.scan, r.best, r.gapReported = true, r.first, nil, false
 	}
 	r.scan = max(r.scan, r.first)
-	var events []Event
 	for _, record := range batch.Records {
 		switch expected := r.ReadFrom(); {
 		case record.Offset < expected:
@@ -119,7 +135,7 @@
 		}
 		events = r.applyRecord(events, record, now)
 	}
-	if r.scanning && r.scan >= r.end {
+	if r.scanning && !r.behind && r.scan >= r.end {
 		events = r.finishScan(events, now)
 	}
 	if r.AtEnd() {
@@ -135,7 +151,7 @@
 	}
 	if r.scanning {
 		r.scan = record.Offset + 1
-		if s, ok := decoded.(*Snapshot); ok && err == nil && (r.best == nil || s.AsOf > r.best.AsOf) {
+		if s, ok := decoded.(*Snapshot); ok && err == nil && r.better(s) {
 			r.best = s
 		}
 		if err != nil {
@@ -156,6 +172,17 @@
 	return events
 }
 
+// better reports whether to adopt the snapshot rather than the best one so far.
+func (r *Reader) better(s *Snapshot) bool {
+	switch {
+	case r.best == nil:
+		return true
+	case r.oldest && r.best.AsOf+1 >= r.first:
+		return false
+	}
+	return s.AsOf > r.best.AsOf
+}
+
 // applyEdit decides about an edit by the rules that all readers share.
 func (r *Reader) applyEdit(offset platform.Offset, edit *Edit, now time.Time) Event {
 	reject := func(reason RejectReason, err error) Event {
@@ -257,6 +284,7 @@
 func (r *Reader) adopt(s *Snapshot, fromPeer bool, now time.Time) Event {
 	previous := r.version
 	r.tables, r.version, r.next = s.Tables, s.Version, s.AsOf+1
+	r.end = max(r.end, r.next)
 	r.recent = slices.Clone(s.Recent)
 	r.versions = []VersionInfo{{Version: s.Version, Offset: s.AsOf, Digest: s.Tables.Digest()}}
 	if r.next >= r.first {
