--- /dev/null
+++ b/examples/quickstart/main.go
@@ -0,0 +1,332 @@
+// Command quickstart shows the whole path of tarragonshore on one machine. It
+// starts a platform stand-in and, in two availability zones, four daemons with
+// their backend server stand-ins for two services that call each other. It then
+// publishes tables, answers keyed requests, places an order, withdraws a key,
+// drains a backend server, prints what happened and stops all processes.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/process/testbed"
+)
+
+// Times of the run.
+const (
+	runTimeout     = 50 * time.Second
+	requestTimeout = 5 * time.Second
+	settleTime     = 3 * time.Second // buckets of new rate groups fill
+	drainTime      = 3 * time.Second // a drained server gets no new work after this
+	withdrawLimit  = 5 * time.Second
+	pollInterval   = 50 * time.Millisecond
+)
+
+const routes = `; Routes say what may be called, and keys say by whom.
+[route stalls]
+path = /stalls
+methods = GET
+pool = stalls
+idempotent = true
+importance = 3
+timeout = 2s
+
+[route orders]
+path = /orders
+methods = POST
+pool = stalls
+idempotent = false
+importance = 1
+timeout = 2s
+
+[route stock]
+path = /stock
+methods = GET
+pool = stock
+idempotent = true
+importance = 3
+timeout = 1s
+`
+
+const pools = `; Pools are served by the backend servers that announce their names.
+[pool stalls]
+warm_up = 1s
+
+[pool stock]
+warm_up = 1s
+
+[workspace arima]
+rate = 200
+burst = 100
+`
+
+func main() {
+	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
+	defer cancel()
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "quickstart failed:", err)
+		os.Exit(1)
+	}
+}
+
+// demo is the state of one run.
+type demo struct {
+	bed    *testbed.Bed
+	dir    string
+	client *http.Client
+}
+
+func run(ctx context.Context) (err error) {
+	dir, err := os.MkdirTemp("", "tarragonshore-quickstart-")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err == nil {
+			err = os.RemoveAll(dir)
+		} else {
+			err = fmt.Errorf("%w; logs are in %s", err, dir)
+		}
+	}()
+	step("building the programs")
+	bin := filepath.Join(dir, "bin")
+	if err := testbed.Build(bin); err != nil {
+		return err
+	}
+	bed, err := testbed.New(dir, bin, testbed.Spec{
+		Zones: 2, Groups: 8, AppendsPerSecond: 300, RetentionSeconds: 24 * 3600,
+		Services: []testbed.Service{
+			{Pool: "stalls", Upstreams: 2, Slots: []int{16}, ServiceMS: 5, QueueLimit: 16, Calls: []string{"GET /stock/barrel-1"}},
+			{Pool: "stock", Upstreams: 2, Slots: []int{16}, ServiceMS: 5, QueueLimit: 16},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, bed.Stop()) }()
+	step("starting the platform stand-in, 4 daemons and 4 backend servers in 2 zones")
+	if err := bed.Start(ctx); err != nil {
+		return err
+	}
+	d := &demo{bed: bed, dir: dir, client: &http.Client{Timeout: requestTimeout}}
+	return d.play(ctx)
+}
+
+// play runs the steps of the demonstration.
+func (d *demo) play(ctx context.Context) error {
+	if err := d.publish(ctx); err != nil {
+		return err
+	}
+	step("issuing a key for workspace arima")
+	output, err := d.control(ctx, "key", "add", "arima", "--output", "json")
+	if err != nil {
+		return err
+	}
+	var issued struct{ Key string }
+	if err := json.Unmarshal([]byte(output), &issued); err != nil {
+		return err
+	}
+	key := issued.Key
+	time.Sleep(settleTime)
+	for _, next := range []func(context.Context, string) error{d.readStalls, d.placeOrder, d.drain, d.withdraw} {
+		if err := next(ctx, key); err != nil {
+			return err
+		}
+	}
+	status, err := d.control(ctx, "status")
+	if err != nil {
+		return err
+	}
+	step("status of the daemons")
+	fmt.Println(indent(status))
+	step("done; stopping all processes")
+	return nil
+}
+
+// publish writes both tables to the log and waits until they are in force.
+func (d *demo) publish(ctx context.Context) error {
+	for name, content := range map[string]string{"routes.ini": routes, "pools.ini": pools} {
+		if err := os.WriteFile(filepath.Join(d.dir, name), []byte(content), 0o644); err != nil {
+			return err
+		}
+	}
+	step("publishing routes and pools")
+	output, err := d.control(ctx, "publish", "--routes", filepath.Join(d.dir, "routes.ini"),
+		"--pools", filepath.Join(d.dir, "pools.ini"), "--note", "quick start", "--wait")
+	if err != nil {
+		return err
+	}
+	fmt.Println(indent(output))
+	return d.bed.WaitInForce(ctx)
+}
+
+// control runs tarragonctl, which must succeed.
+func (d *demo) control(ctx context.Context, args ...string) (string, error) {
+	output, code, err := d.bed.Control(ctx, args...)
+	if err != nil {
+		return "", err
+	}
+	if code != 0 {
+		return "", fmt.Errorf("tarragonctl %s: exit code %d: %s", strings.Join(args, " "), code, output)
+	}
+	return strings.TrimSpace(output), nil
+}
+
+// readStalls sends a keyed read to each daemon, and one without a key.
+func (d *demo) readStalls(ctx context.Context, key string) error {
+	step("keyed reads at each daemon; each calls the other service once")
+	for _, node := range d.bed.Nodes {
+		if _, err := d.expect(ctx, http.StatusOK, node, http.MethodGet, "/stalls/1", key, "", ""); err != nil {
+			return err
+		}
+	}
+	_, err := d.expect(ctx, http.StatusUnauthorized, d.bed.Nodes[0], http.MethodGet, "/stalls/1", "", "", "")
+	return err
+}
+
+// placeOrder gets a ticket, places an order and repeats it at another daemon.
+func (d *demo) placeOrder(ctx context.Context, key string) error {
+	step("an order needs a ticket; its repeat elsewhere gets the stored answer and runs nothing")
+	const order = `{"prizes": 12}`
+	if _, err := d.expect(ctx, http.StatusPreconditionRequired, d.bed.Nodes[0], http.MethodPost, "/orders", key, "", order); err != nil {
+		return err
+	}
+	issued, err := d.expect(ctx, http.StatusCreated, d.bed.Nodes[0], http.MethodPost, caller.TicketPath, key, "", "")
+	if err != nil {
+		return err
+	}
+	var ticket struct{ Ticket string }
+	if err := json.Unmarshal([]byte(issued), &ticket); err != nil {
+		return err
+	}
+	first, err := d.expect(ctx, http.StatusOK, d.bed.Nodes[0], http.MethodPost, "/orders", key, ticket.Ticket, order)
+	if err != nil {
+		return err
+	}
+	again, err := d.expect(ctx, http.StatusOK, d.bed.Nodes[3], http.MethodPost, "/orders", key, ticket.Ticket, order)
+	if err != nil {
+		return err
+	}
+	if first != again {
+		return fmt.Errorf("the repeat got another answer: %s", again)
+	}
+	_, err = d.expect(ctx, http.StatusConflict, d.bed.Nodes[1], http.MethodPost, "/orders", key, ticket.Ticket, `{"prizes": 13}`)
+	return err
+}
+
+// drain takes one backend server out of use and shows that it gets no new work.
+func (d *demo) drain(ctx context.Context, key string) error {
+	step("draining backend server stock-1")
+	output, err := d.control(ctx, "drain", "stock-1", "--note", "quick start")
+	if err != nil {
+		return err
+	}
+	fmt.Println(indent(output))
+	time.Sleep(drainTime)
+	before, err := d.bed.Node("stock-1").Report(ctx)
+	if err != nil {
+		return err
+	}
+	const reads = 20
+	for i := range reads {
+		node := d.bed.Nodes[i%len(d.bed.Nodes)]
+		if status, body, err := d.ask(ctx, node, http.MethodGet, "/stalls/1", key, "", ""); err != nil || status != http.StatusOK {
+			return fmt.Errorf("read during the drain: status %d, %s, %w", status, body, err)
+		}
+	}
+	after, err := d.bed.Node("stock-1").Report(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("  %d reads answered; new work at stock-1: %d\n", reads, after.Requests-before.Requests)
+	if after.Requests != before.Requests {
+		return errors.New("the drained backend server got new work")
+	}
+	return nil
+}
+
+// withdraw withdraws the key and measures how long daemons still accept it.
+func (d *demo) withdraw(ctx context.Context, key string) error {
+	step("withdrawing the key while its caller is connected")
+	begun := time.Now()
+	if _, err := d.controlWithInput(ctx, key, "key", "withdraw", "-"); err != nil {
+		return err
+	}
+	for _, node := range d.bed.Nodes {
+		for {
+			status, _, err := d.ask(ctx, node, http.MethodGet, "/stalls/1", key, "", "")
+			if err != nil {
+				return err
+			}
+			if status == http.StatusUnauthorized {
+				break
+			}
+			if time.Since(begun) > withdrawLimit {
+				return fmt.Errorf("%s still accepts the key after %s", node.Name, withdrawLimit)
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	fmt.Printf("  refused by all daemons %s after the command began\n", time.Since(begun).Round(time.Millisecond))
+	return nil
+}
+
+// controlWithInput runs tarragonctl with standard input.
+func (d *demo) controlWithInput(ctx context.Context, input string, args ...string) (string, error) {
+	output, code, err := d.bed.ControlWithInput(ctx, input, args...)
+	if err == nil && code != 0 {
+		err = fmt.Errorf("tarragonctl %s: exit code %d: %s", strings.Join(args, " "), code, output)
+	}
+	return output, err
+}
+
+// expect sends a request, prints the answer and checks its status.
+func (d *demo) expect(ctx context.Context, want int, node *testbed.Node, method, path, key, ticket, body string) (string, error) {
+	begun := time.Now()
+	status, answer, err := d.ask(ctx, node, method, path, key, ticket, body)
+	if err != nil {
+		return "", err
+	}
+	fmt.Printf("  %s %s at %s (%s): %d in %s\n", method, path, node.Name, node.Zone, status, time.Since(begun).Round(100*time.Microsecond))
+	if status != want {
+		return "", fmt.Errorf("status %d in place of %d: %s", status, want, answer)
+	}
+	return answer, nil
+}
+
+// ask sends one request to a daemon's caller port.
+func (d *demo) ask(ctx context.Context, node *testbed.Node, method, path, key, ticket, body string) (int, string, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+node.Caller+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, "", err
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	if ticket != "" {
+		request.Header.Set(caller.HeaderIdempotencyKey, ticket)
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
+
+func step(text string) { fmt.Println("==", text) }
+
+func indent(text string) string {
+	return "  " + strings.ReplaceAll(strings.TrimSpace(text), "\n", "\n  ")
+}
--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -46,6 +46,9 @@
 		MaxArrayElements: maxArrayElements,
 		MaxMapPairs:      maxMapPairs,
 		IndefLength:      cbor.IndefLengthForbidden,
+		// Header values and targets are bytes; a caller must not be able to break
+		// a link with bytes that are not UTF-8.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -78,3 +78,20 @@
 		}
 	})
 }
+
+// Guards against a caller who breaks a peer link with a header value or a
+// target that is not UTF-8.
+func TestBytesThatAreNotUTF8(t *testing.T) {
+	sent := &wire.Attempt{Request: wire.Request{Target: "/caf\xe9", Header: []wire.HeaderField{{Name: "X-Name", Value: "caf\xe9"}}}}
+	frame, err := wire.Encode(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	received, err := wire.Decode(frame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := received.(*wire.Attempt).Request; got.Target != sent.Request.Target || got.Header[0] != sent.Request.Header[0] {
+		t.Fatalf("got %q", got)
+	}
+}
--- a/internal/process/daemon/groups.go
+++ b/internal/process/daemon/groups.go
@@ -22,7 +22,7 @@
 const (
 	claimAppendTimeout = 5 * time.Second
 	deathProbeTimeout  = time.Second
-	giveUpTimeout      = 10 * time.Second
+	giveUpTimeout      = 5 * time.Second
 )
 
 // groups is this daemon as a keeper of rate groups. Its lock guards claims,
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -13,6 +13,7 @@
 	"os"
 	"time"
 
+	"tarragonshore.example/tarragonshore/internal/process/membership"
 	"tarragonshore.example/tarragonshore/internal/process/platform"
 	"tarragonshore.example/tarragonshore/internal/process/settings"
 	"tarragonshore.example/tarragonshore/internal/version/tables"
@@ -55,13 +56,14 @@
 func System() Environment {
 	client := &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	return Environment{
-		Stdin:     os.Stdin,
-		Stdout:    os.Stdout,
-		Stderr:    os.Stderr,
-		Variables: os.Environ(),
-		OpenLog:   func(address string) platform.Log { return platform.NewClient(address, 0) },
-		Get:       client.Do,
-		Now:       time.Now,
+		Stdin:        os.Stdin,
+		Stdout:       os.Stdout,
+		Stderr:       os.Stderr,
+		Variables:    os.Environ(),
+		OpenLog:      func(address string) platform.Log { return platform.NewClient(address, 0) },
+		Get:          client.Do,
+		DecodeMember: memberOfRecord,
+		Now:          time.Now,
 		Sleep: func(ctx context.Context, d time.Duration) {
 			select {
 			case <-ctx.Done():
@@ -73,6 +75,12 @@
 	}
 }
 
+// memberOfRecord reads an announcement of a daemon.
+func memberOfRecord(record []byte) (Member, bool) {
+	_, r, err := membership.DecodeAnnouncement(record, time.Now())
+	return Member{Name: r.Name, Incarnation: r.Incarnation, Admin: r.Admin, Left: r.Left}, err == nil
+}
+
 // Failure is an error with an exit code and a remedy.
 type Failure struct {
 	Code   int
--- a/internal/process/settings/settings_suite_test.go
+++ b/internal/process/settings/settings_suite_test.go
@@ -70,8 +70,9 @@
 		Entry("bad values", good+"poll_wait=5s\n[limits]\nmax_body=8MiB\nworkers=0\n[log]\nlevel=all", "TARRAGON_LISTEN_PEER=0.0.0.0:1 TARRAGON_DAEMON_NAME=A TARRAGON_LISTEN_CALLER=localhost:1",
 			"bad-value|daemon|name|A", "bad-value|listen|caller|localhost:1", "bad-value|listen|peer|0.0.0.0:1", "bad-value|platform|poll_wait|5s",
 			"bad-value|limits|max_body|8MiB", "bad-value|limits|workers|0", "bad-value|log|level|all"),
-		Entry("settings that do not fit each other", good+"poll_wait=3s\n[timing]\nlink_ping=2s", "TARRAGON_LISTEN_ADMIN=10.0.0.7:7422",
-			"bad-value|timing|link_silence|2.5s", "bad-value|platform|poll_wait|3s", "bad-value|listen|admin|10.0.0.7:7422"))
+		Entry("a poll that is too long for the freshness of keys", good+"poll_wait=3s", "", "bad-value|platform|poll_wait|3s"),
+		Entry("settings that do not fit each other", good+"[timing]\nlink_ping=2s", "TARRAGON_LISTEN_ADMIN=10.0.0.7:7422",
+			"bad-value|timing|link_silence|2.5s", "bad-value|listen|admin|10.0.0.7:7422"))
 
 	It("name the file that cannot be read", func() {
 		_, err := LoadControl("/nonexistent.ini", []string{"TARRAGON_PLATFORM_ADDRESS=10.0.0.1:1", "TARRAGON_DAEMONS_ADMIN=10.0.0.2:1, 10.0.0.3:1"})
--- a/internal/process/testbed/bed.go
+++ b/internal/process/testbed/bed.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"text/template"
@@ -200,7 +201,7 @@
 		"Slots": service.Slots[index%len(service.Slots)], "Service": fmt.Sprintf("%gms", service.ServiceMS),
 		"Constant": service.Constant, "Queue": service.QueueLimit, "Cold": service.ColdStartMS,
 		"Calls": strings.Join(service.Calls, ", "), "Seed": index + 1,
-		"Direct": direct, "DirectTries": spec.DirectTries,
+		"Direct": direct, "DirectTries": max(1, spec.DirectTries),
 	})
 	return node, err
 }
@@ -302,7 +303,20 @@
 // Control runs tarragonctl against the bed's platform and returns its output
 // and exit code.
 func (b *Bed) Control(ctx context.Context, args ...string) (string, int, error) {
-	return run(ctx, filepath.Join(b.Bin, "tarragonctl"), append(args, "--platform", b.PlatformAddr)...)
+	return b.ControlWithInput(ctx, "", args...)
+}
+
+// ControlWithInput is Control with standard input.
+func (b *Bed) ControlWithInput(ctx context.Context, input string, args ...string) (string, int, error) {
+	command := exec.CommandContext(ctx, filepath.Join(b.Bin, "tarragonctl"), args...)
+	command.Env = append(os.Environ(), "TARRAGON_PLATFORM_ADDRESS="+b.PlatformAddr)
+	command.Stdin = strings.NewReader(input)
+	output, err := command.Output()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return string(output) + string(exit.Stderr), exit.ExitCode(), nil
+	}
+	return string(output), 0, err
 }
 
 // Stop ends all processes: the hosts gracefully, then the platform.
