--- a/internal/process/daemon/tickets.go
+++ b/internal/process/daemon/tickets.go
@@ -311,10 +311,3 @@
 	}
 	return t.home.Origins()
 }
-
-// inProgress returns the number of requests that this home still runs.
-func (t *tickets) inProgress() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.home.InProgress()
-}
