--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -368,7 +368,7 @@
 		return 0
 	}
 	rate := float64(c.limiter.current()) / c.cost.Seconds() / float64(max(1, len(c.queue.active)))
-	rate = max(rate, w.level.meanStarts/thresholdWindow.Seconds())
+	rate = max(rate, w.level.served()/thresholdWindow.Seconds())
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
--- a/internal/request/admission/limiter.go
+++ b/internal/request/admission/limiter.go
@@ -41,7 +41,10 @@
 	improved = 0.7
 	// loadedRatio is the ratio of the requests in flight at the start of refused
 	// and of successful requests above which the refusals come from the load.
-	loadedRatio = 1.05
+	// They also do if none succeeded at a load at which others were refused, or
+	// too few to tell.
+	loadedRatio  = 1.05
+	minSuccesses = 10
 	// maxShedStep bounds a lowering for refusals, and shedHalved is the factor
 	// of their share that it must reach.
 	maxShedStep = 0.5
@@ -96,9 +99,9 @@
 	successes int
 	service   time.Duration // sum over successes
 	shed      int
-	// Requests in flight when the finished ones were started: sums, and the
-	// least for those that the server refused.
-	successLoad, shedLoad, shedLeast int
+	// Requests in flight when the finished ones were started: sums, the most
+	// for successes and the least for those that the server refused.
+	successLoad, successMost, shedLoad, shedLeast int
 }
 
 // sample is the result of a window.
@@ -125,7 +128,8 @@
 	}
 	if w.shed > 0 {
 		shedLoad := float64(w.shedLoad) / float64(w.shed)
-		s.loaded = shedLoad > loadedRatio*float64(w.successLoad)/float64(max(1, w.successes))
+		s.loaded = w.successes < minSuccesses || w.successMost < w.shedLeast ||
+			shedLoad > loadedRatio*float64(w.successLoad)/float64(max(1, w.successes))
 		s.shedLimit = max(float64(w.shedLeast-1), maxShedStep*shedLoad)
 	}
 	return s
@@ -213,6 +217,7 @@
 		l.window.successes++
 		l.window.service += service
 		l.window.successLoad += load
+		l.window.successMost = max(l.window.successMost, load)
 	case ServerShed:
 		l.window.shed++
 		l.window.shedLoad += load
@@ -299,8 +304,8 @@
 	}
 }
 
-// tryRaise raises a lowered limit: by a trial if requests wait for it, which
-// would show whether that helps, else at once.
+// tryRaise raises a lowered limit: by a trial if that would show whether it
+// helps, else at once.
 func (l *limiter) tryRaise(now time.Time, step float64, s sample) {
 	limit := l.limit * step
 	if l.raises > 1 {
@@ -309,7 +314,7 @@
 	if l.lowered == causeShed {
 		limit = l.limit + float64(int(1)<<min(l.raises, 6))
 	}
-	if s.saturated {
+	if s.saturated || l.lowered == causeShed {
 		l.try(now, l.lowered, limit, s)
 		return
 	}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -120,7 +120,8 @@
 		q.byClass[e.class] = without(q.byClass[e.class], w)
 	}
 	w.queued--
-	w.level.least = min(w.level.least, w.queued)
+	least := &w.level.least[e.class/2]
+	*least = min(*least, w.queues[e.class&^1].n+w.queues[e.class|1].n)
 	if w.queued == 0 {
 		q.active = without(q.active, w)
 	}
--- a/internal/request/admission/threshold.go
+++ b/internal/request/admission/threshold.go
@@ -81,8 +81,8 @@
 
 	// In this window.
 	arrivals [importances]int // admitted by the threshold
-	starts   int
-	least    int                    // shortest queue of the workspace
+	starts   [importances]int
+	least    [importances]int       // shortest queue
 	waited   [classes]time.Duration // least queueing time of the starts
 	hasStart [classes]bool
 
@@ -90,9 +90,9 @@
 	// level, by importance. What was known of an importance before it was shed
 	// is kept: it tells how far the level can be raised.
 	density    [importances]float64
-	meanStarts float64
-	idle       int           // windows in a row
-	slack      time.Duration // smoothed time that requests can wait
+	meanStarts [importances]float64 // per window
+	idle       int                  // windows in a row
+	slack      time.Duration        // smoothed time that requests can wait
 
 	samples    [belowSamples]belowSample
 	sampleN    int
@@ -114,7 +114,7 @@
 
 // started counts a request that left the queue for the server.
 func (l *level) started(class uint8, wait time.Duration) {
-	l.starts++
+	l.starts[class/2]++
 	if !l.hasStart[class] || wait < l.waited[class] {
 		l.hasStart[class], l.waited[class] = true, wait
 	}
@@ -139,8 +139,10 @@
 	l.moveOwn(l.delay(now, w), l.floor(now, w, target), target, idle)
 	l.moveBelow(now)
 	l.arrivals = [importances]int{}
-	l.starts = 0
-	l.least = w.queued
+	l.starts = [importances]int{}
+	for i := range l.least {
+		l.least[i] = w.queues[2*i].n + w.queues[2*i+1].n
+	}
 	l.hasStart = [classes]bool{}
 }
 
@@ -158,24 +160,39 @@
 			l.density[i] += weight * (float64(l.arrivals[i])/n - l.density[i])
 		}
 	}
-	l.meanStarts += windowWeight * (float64(l.starts) - l.meanStarts)
+	for i, n := range l.starts {
+		l.meanStarts[i] += windowWeight * (float64(n) - l.meanStarts[i])
+	}
 }
 
-// delay returns the time that the standing queue of the workspace takes at
-// the rate at which it is served. Queues that were empty once in the window do
-// not count: they come from the variation of arrivals.
+// delay returns the time that the standing queue of an importance takes at the
+// rate at which it is served, for the importance in which it is longest. Queues
+// that were empty once in the window do not count: they come from the
+// variation of arrivals.
 func (l *level) delay(now time.Time, w *workspace) time.Duration {
-	if l.least == 0 {
-		return 0
-	}
-	d := time.Duration(float64(l.least) / max(l.meanStarts, 0.1) * float64(thresholdWindow))
-	var oldest time.Duration
-	for c := range w.queues {
-		if head := w.queues[c].head; head != nil {
-			oldest = max(oldest, now.Sub(head.queuedAt))
+	var longest time.Duration
+	for i, n := range l.least {
+		if n == 0 {
+			continue
 		}
+		d := time.Duration(float64(n) / max(l.meanStarts[i], 0.1) * float64(thresholdWindow))
+		oldest := thresholdWindow
+		for _, f := range w.queues[2*i : 2*i+2] {
+			if f.head != nil {
+				oldest = max(oldest, now.Sub(f.head.queuedAt))
+			}
+		}
+		longest = max(longest, min(d, oldest))
+	}
+	return longest
+}
+
+// served returns the smoothed number of starts per window.
+func (l *level) served() (total float64) {
+	for _, n := range l.meanStarts {
+		total += n
 	}
-	return min(d, max(oldest, thresholdWindow))
+	return total
 }
 
 // floor returns the most important class whose requests waited longer than
@@ -213,7 +230,7 @@
 	}
 	factor := maxRaise
 	if admitted > 0 {
-		factor = (1 + damping*(l.meanStarts/admitted-1)) * (1 + float64(target-delay)/float64(correction))
+		factor = (1 + damping*(l.served()/admitted-1)) * (1 + float64(target-delay)/float64(correction))
 	}
 	if delay > target {
 		l.cut(admitted*(1-min(max(factor, maxCut), 1)), float64(max(minLevel, floor/2*hashes)))
