Test real processes and serve callers only when the members are known

Cause: after a restart a daemon served callers at once, with the tables but before it had learned the other members' backend servers, whose announcements on the log are from their starts. It refused requests with no-upstream. Change: connections of callers wait in the listener until there are tables and another member has told what it knows, at most 5 s. Ruled out: /readyz alone, because callers do not look at it.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -39,6 +39,10 @@
 	viewInterval = 50 * time.Millisecond // changes of members are applied together
 	tickInterval = time.Second
 	seedTimeout  = 2 * time.Second
+	// serviceTimeout bounds the wait for tables and members before callers are
+	// served without them; requests are then refused, and say why.
+	serviceTimeout = 5 * time.Second
+	servicePoll    = 5 * time.Millisecond
 )
 
 // Daemon is one run of tarragond.
@@ -105,7 +109,7 @@
 	}
 	run, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.serve()
+	d.serve(run)
 	d.background(run)
 	logging.Event("daemon", "started", "member", d.self.Member, "incarnation", d.self.Incarnation,
 		"zone", d.cfg.Zone, "caller", d.cfg.Caller, "peer", d.cfg.Peer)
@@ -239,8 +243,10 @@
 	)
 }
 
-// serve starts the HTTP servers.
-func (d *Daemon) serve() {
+// serve starts the HTTP servers. Callers' connections wait in the listener until
+// this daemon can serve them: one that has just restarted has no members yet,
+// and would refuse what it is sent.
+func (d *Daemon) serve(ctx context.Context) {
 	entry := &entry{
 		configuration: d.configuration, rates: d.rates, tickets: d.tickets,
 		dispatcher: d.dispatcher, metrics: d.metrics, leaving: d.leaving.Load,
@@ -259,6 +265,9 @@
 		d.servers[name] = server
 		listener := d.listeners[name]
 		d.wg.Go(func() {
+			if name == "caller" {
+				d.awaitService(ctx)
+			}
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				logging.Event("daemon", "listener-failed", "port", name, "error", err.Error())
 			}
@@ -266,6 +275,24 @@
 	}
 }
 
+// awaitService waits, for a limited time, until there are tables in force and
+// the pools have been built from the members that the log named.
+func (d *Daemon) awaitService(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	defer cancel()
+	expected := len(d.seed.Records) > 0
+	err := waitFor(ctx, servicePoll, func() bool {
+		if d.configuration.current().Version == 0 || expected && !d.members.synchronized() {
+			return false
+		}
+		d.dispatcher.updatePools(d.members.service.View(), d.configuration.current())
+		return true
+	})
+	if err != nil {
+		logging.WarningEvent("daemon", "serving-without-members-or-tables", "version", d.configuration.current().Version)
+	}
+}
+
 // background starts the periodic work of the parts.
 func (d *Daemon) background(ctx context.Context) {
 	for _, run := range []func(context.Context){
--- a/internal/process/daemon/members.go
+++ b/internal/process/daemon/members.go
@@ -80,6 +80,15 @@
 	return member.Successor
 }
 
+// synchronized tells whether another member has told what it knows. The records
+// of the log are from the starts of the members, when their backend servers had
+// not announced themselves yet.
+func (m *members) synchronized() bool {
+	return slices.ContainsFunc(m.service.View().Members, func(member *membership.Member) bool {
+		return member.Name != m.self && !member.Unverified && len(member.Servers) > 0
+	})
+}
+
 // change changes the own record.
 func (m *members) change(apply func(*membership.Detail)) {
 	m.mu.Lock()
--- a/internal/process/load/compare.go
+++ b/internal/process/load/compare.go
@@ -33,7 +33,7 @@
 	longQueue    = 100_000
 	bedGroups    = 8
 	bedAppends   = 300
-	bedRetention = 3600
+	bedRetention = 24 * 3600
 	settleTime   = 3 * time.Second
 	routeTimeout = 10 * time.Second
 )
--- a/internal/process/load/driver.go
+++ b/internal/process/load/driver.go
@@ -141,24 +141,31 @@
 	if err != nil {
 		return
 	}
-	entitled := d.entitled.take(outcome.Workspace, time.Now())
+	entitled := d.entitled.sent(outcome.Workspace, time.Now())
 	if entitled {
 		outcome.Entitled++
 	}
 	response, err := d.client.Do(request)
 	if err != nil {
+		d.entitled.ended(outcome.Workspace, entitled, false)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	kind, executed := refusalOf(response, body)
+	refused := kind == problem.KindRateExceeded || kind == problem.KindRateUnavailable
+	d.entitled.ended(outcome.Workspace, entitled, refused)
+	if entitled && refused {
+		outcome.WronglyRefused++
+	}
 	if err != nil || !sleepUntil(ctx, time.Now().Add(d.scenario.CallerDelay)) {
 		return
 	}
 	outcome.Status = response.StatusCode
 	if response.StatusCode != http.StatusOK {
-		noteRefusal(outcome, response.Header, body)
-		if entitled && (outcome.Kind == problem.KindRateExceeded || outcome.Kind == problem.KindRateUnavailable) {
-			outcome.WronglyRefused++
+		outcome.Kind, outcome.Executed = kind, executed
+		if executed == problem.ExecutedNo {
+			outcome.NotExecuted = append(outcome.NotExecuted, outcome.Tries)
 		}
 		return
 	}
@@ -187,18 +194,17 @@
 	return request, nil
 }
 
-func noteRefusal(outcome *Outcome, header http.Header, body []byte) {
-	if header.Get("Content-Type") != problem.ContentType {
-		return
+// refusalOf returns kind and executed of a refusal, or empty values.
+func refusalOf(response *http.Response, body []byte) (problem.Kind, problem.Executed) {
+	if response.Header.Get("Content-Type") != problem.ContentType {
+		return "", ""
 	}
 	var refusal struct {
 		Kind     problem.Kind     `json:"kind"`
 		Executed problem.Executed `json:"executed"`
 	}
-	if json.Unmarshal(body, &refusal) == nil {
-		outcome.Kind, outcome.Executed = refusal.Kind, refusal.Executed
-		if refusal.Executed == problem.ExecutedNo {
-			outcome.NotExecuted = append(outcome.NotExecuted, outcome.Tries)
-		}
+	if json.Unmarshal(body, &refusal) != nil {
+		return "", ""
 	}
+	return refusal.Kind, refusal.Executed
 }
--- a/internal/process/load/entitlement.go
+++ b/internal/process/load/entitlement.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// entitlement counts the rate and burst of each workspace exactly, as one token
-// bucket at the callers would. A refusal for rate of a try that the bucket
-// admits is a wrongful one.
+// entitlement tells which refusals for rate are wrongful: those of a workspace
+// whose rate and burst, charged with what the system did admit, have room for the
+// request. It keeps one exact token bucket per workspace at the callers.
 type entitlement struct {
 	mu      sync.Mutex
 	buckets []tokenBucket
@@ -27,8 +27,8 @@
 	return e
 }
 
-// take charges a try and tells whether the workspace's rate admits it.
-func (e *entitlement) take(workspace int, now time.Time) bool {
+// sent charges a try and tells whether the workspace's rate has room for it.
+func (e *entitlement) sent(workspace int, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := &e.buckets[workspace]
@@ -42,3 +42,16 @@
 	b.level--
 	return true
 }
+
+// ended corrects the charge of a try when it is known whether the system
+// refused it for rate.
+func (e *entitlement) ended(workspace int, charged, refused bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch b := &e.buckets[workspace]; {
+	case charged && refused:
+		b.level++
+	case !charged && !refused:
+		b.level--
+	}
+}
