--- /dev/null
+++ b/internal/request/routing/stats.go
@@ -0,0 +1,31 @@
+package routing
+
+import "time"
+
+// UpstreamStats is a view of one upstream for metrics and the status command.
+type UpstreamStats struct {
+	ID       string
+	Zone     string
+	InFlight int
+	Smoothed time.Duration // smoothed time of an attempt; 0 if not measured
+	Share    float64       // part of the full load while warming up, else 1
+	Drained  bool          // it refused as draining
+	SetAside bool          // after failures in a row
+}
+
+// Stats returns the upstreams in use, own zone first. It allocates.
+func (t *Table) Stats(now time.Time) []UpstreamStats {
+	stats := make([]UpstreamStats, len(t.upstreams))
+	for i, u := range t.upstreams {
+		stats[i] = UpstreamStats{
+			ID:       u.ID,
+			Zone:     u.Zone,
+			InFlight: u.inFlight,
+			Smoothed: u.smoothed,
+			Share:    t.share(now, u),
+			Drained:  u.drained,
+			SetAside: now.Before(u.asideTill),
+		}
+	}
+	return stats
+}
--- a/internal/request/routing/table.go
+++ b/internal/request/routing/table.go
@@ -246,12 +246,6 @@
 	u.failures = failuresInRow - 1 // the next failure after the return counts fully
 }
 
-// SetAside tells whether the upstream is set aside.
-func (t *Table) SetAside(now time.Time, id string) bool {
-	u := t.byID[id]
-	return u != nil && now.Before(u.asideTill)
-}
-
 // share is the part of its full load that the upstream takes while warming up.
 func (t *Table) share(now time.Time, u *upstream) float64 {
 	age := now.Sub(u.ReadySince)
