Measure the slopes of the daemon's parts

Cause: the design size (1,100 daemons) cannot be run on one machine, and the costs per member, link, workspace, group, row and ticket were not known.

Change: the subcommand "slopes" of tarragon-load measures the same product code at several sizes: membership cores in virtual time, tables and history records, holders against keepers, claims, tickets, idle peer links over loopback, and idle daemons as processes.

--- a/internal/process/load/command.go
+++ b/internal/process/load/command.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"tarragonshore.example/tarragonshore/internal/process/slopes"
 	"tarragonshore.example/tarragonshore/internal/process/testbed"
 )
 
@@ -56,7 +57,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	root.AddCommand(compareCommand(), driveCommand())
+	root.AddCommand(compareCommand(), driveCommand(), slopes.Command())
 	return root
 }
 
--- /dev/null
+++ b/internal/process/slopes/daemons.go
@@ -0,0 +1,140 @@
+package slopes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"tarragonshore.example/tarragonshore/internal/process/testbed"
+)
+
+// Times of the measurement of idle processes.
+const (
+	bedSettleTime  = 10 * time.Second
+	bedObserveTime = 20 * time.Second
+)
+
+// usage is what a process has used since its start.
+type usage struct {
+	seconds  float64 // processor time
+	switches uint64  // waits of its threads
+	bytes    uint64  // read and written, without UDP
+	resident uint64
+	private  uint64 // dirty memory that is not shared with other processes
+}
+
+func usageOf(pid int) (u usage, err error) {
+	process, err := procfs.NewProc(pid)
+	if err != nil {
+		return u, err
+	}
+	io, err := process.IO()
+	if err != nil {
+		return u, err
+	}
+	memory, err := process.ProcSMapsRollup()
+	if err != nil {
+		return u, err
+	}
+	u.bytes, u.resident, u.private = io.RChar+io.WChar, memory.Rss, memory.PrivateDirty
+	threads, err := procfs.AllThreads(pid)
+	if err != nil {
+		return u, err
+	}
+	for _, thread := range threads {
+		schedule, err := thread.Schedstat()
+		if err != nil {
+			return u, err
+		}
+		status, err := thread.NewStatus()
+		if err != nil {
+			return u, err
+		}
+		u.seconds += float64(schedule.RunningNanoseconds) / 1e9
+		u.switches += status.VoluntaryCtxtSwitches
+	}
+	return u, nil
+}
+
+// daemonsSlopes runs idle daemons with their backend servers as processes.
+func daemonsSlopes(ctx context.Context, r *report) error {
+	dir, err := os.MkdirTemp("", "tarragonshore-slopes-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if err := testbed.Build(dir); err != nil {
+		return err
+	}
+	for _, count := range []int{4, 8, 16} {
+		if err := idleDaemons(ctx, r, dir, count); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func idleDaemons(ctx context.Context, r *report, bin string, count int) (err error) {
+	dir, err := os.MkdirTemp(bin, "bed-")
+	if err != nil {
+		return err
+	}
+	bed, err := testbed.New(dir, bin, testbed.Spec{
+		Zones: 2, Groups: 8, AppendsPerSecond: 300, RetentionSeconds: 24 * 3600,
+		Services: []testbed.Service{{Pool: "service-000", Upstreams: count, Slots: []int{16}, ServiceMS: 5, QueueLimit: 16}},
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, bed.Stop()) }()
+	if err := bed.Start(ctx); err != nil {
+		return err
+	}
+	routes, pools := tableText(3*designServices, 100, designServers)
+	if err := bed.Publish(ctx, string(routes), string(pools)); err != nil {
+		return err
+	}
+	if err := bed.WaitInForce(ctx); err != nil {
+		return err
+	}
+	time.Sleep(bedSettleTime)
+	before := make([]usage, count)
+	for i, node := range bed.Nodes {
+		if before[i], err = usageOf(node.Daemon.PID()); err != nil {
+			return err
+		}
+	}
+	time.Sleep(bedObserveTime)
+	size, seconds := fmt.Sprintf("%d idle daemons", count), bedObserveTime.Seconds()
+	figures := []struct {
+		name, unit string
+		value      func(before, after usage) float64
+	}{
+		{"processor", "% of a core", func(b, a usage) float64 { return (a.seconds - b.seconds) / seconds * 100 }},
+		{"waits of threads", "1/s", func(b, a usage) float64 { return float64(a.switches-b.switches) / seconds }},
+		{"TCP bytes both ways", "B/s", func(b, a usage) float64 { return float64(a.bytes-b.bytes) / seconds }},
+		{"resident memory", "MB", func(_, a usage) float64 { return float64(a.resident) / 1e6 }},
+		{"private memory", "MB", func(_, a usage) float64 { return float64(a.private) / 1e6 }},
+	}
+	after := make([]usage, count)
+	for i, node := range bed.Nodes {
+		if after[i], err = usageOf(node.Daemon.PID()); err != nil {
+			return err
+		}
+	}
+	for _, f := range figures {
+		least, most, sum := f.value(before[0], after[0]), 0.0, 0.0
+		for i := range after {
+			v := f.value(before[i], after[i])
+			least, most, sum = min(least, v), max(most, v), sum+v
+		}
+		r.add(size, f.name+" mean", sum/float64(count), f.unit)
+		r.add(size, f.name+" least", least, f.unit)
+		r.add(size, f.name+" greatest", most, f.unit)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/slopes/links.go
@@ -0,0 +1,88 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+)
+
+// quiet ignores the events of links.
+type quiet struct{}
+
+func (quiet) LinkUp(peer.Link)                {}
+func (quiet) LinkDown(peer.Link, string)      {}
+func (quiet) Receive(peer.Link, wire.Message) {}
+
+// countingConn counts the bytes of one end of a connection.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+const linksTime = 5 * time.Second
+
+// linksSlopes reports the cost of idle links between two hubs, per link end.
+func linksSlopes(ctx context.Context, r *report) error {
+	for _, count := range []int{16, 64, 256} {
+		if err := idleLinks(ctx, r, count); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func idleLinks(ctx context.Context, r *report, count int) error {
+	before := retained()
+	var bytes atomic.Int64
+	config := peer.DefaultConfig
+	config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return countingConn{conn, &bytes}, err
+	}
+	from := peer.NewHub(peer.Identity{Member: "from", Incarnation: 1}, config, quiet{})
+	defer from.Close()
+	to := peer.NewHub(peer.Identity{Member: "to", Incarnation: 1}, peer.DefaultConfig, quiet{})
+	defer to.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: to, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	for range count {
+		// Refresh keeps the earlier links open.
+		if _, err := from.Refresh(ctx, "to", listener.Addr().String()); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	sent, used := bytes.Load(), processorTime()
+	time.Sleep(linksTime)
+	size, ends := fmt.Sprintf("%d links", count), float64(2*count)
+	r.add(size, "link end processor", (processorTime()-used).Seconds()/linksTime.Seconds()/ends*100, "% of a core")
+	r.add(size, "link end bytes both ways", float64(bytes.Load()-sent)/linksTime.Seconds()/float64(count), "B/s")
+	r.add(size, "link end memory", (retained()-before)/ends, "B")
+	if from.Links() != count {
+		return fmt.Errorf("%d of %d links are open", from.Links(), count)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/slopes/membership.go
@@ -0,0 +1,170 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/process/membership"
+)
+
+// Sizes of the virtual network.
+const (
+	networkDelay   = 10 * time.Millisecond
+	headerBytes    = 28 // IP and UDP
+	settleLimit    = 10 * time.Minute
+	observedTime   = time.Minute
+	restartedHosts = 10 // one in so many hosts restarts in the zone failure
+)
+
+type datagram struct {
+	from, to int
+	data     []byte
+}
+
+// network runs membership cores in virtual time, without loss.
+type network struct {
+	now   time.Time
+	rng   *rand.Rand
+	cores []*membership.Core
+	queue []datagram
+	step  int
+	bytes int
+}
+
+func peerAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
+func memberRecord(i int, now time.Time) membership.Record {
+	port := func(p uint16) netip.AddrPort { return netip.AddrPortFrom(peerAddress(i).Addr(), p) }
+	return membership.Record{
+		Name: fmt.Sprintf("host-%04d", i), Incarnation: uint64(now.UnixNano()),
+		Fixed: membership.Fixed{
+			Zone: fmt.Sprintf("zone-%d", i%10), Region: fmt.Sprintf("region-%d", i%3),
+			Peer: peerAddress(i), Caller: port(80), Server: port(81), Admin: port(82),
+		},
+		Detail: membership.Detail{Servers: []membership.Server{{
+			Name: fmt.Sprintf("server-%04d", i), Pool: fmt.Sprintf("service-%03d", i%130), Slots: 100, State: membership.ServerReady,
+		}}},
+	}
+}
+
+func (n *network) start(i int) error {
+	core, err := membership.New(n.now, memberRecord(i, n.now), rand.New(rand.NewPCG(n.rng.Uint64(), 1)))
+	if err != nil {
+		return err
+	}
+	core.Join(peerAddress((i+1)%len(n.cores)), peerAddress((i+7)%len(n.cores)))
+	n.cores[i] = core
+	return nil
+}
+
+// run lets time pass until the condition holds, which it checks each 100 ms.
+func (n *network) run(limit time.Duration, until func() bool) (took time.Duration) {
+	ticks := int(membership.TickInterval / networkDelay)
+	for begun := n.now; n.now.Sub(begun) < limit; {
+		n.now = n.now.Add(networkDelay)
+		n.step++
+		due := n.queue
+		n.queue = nil
+		for _, d := range due {
+			n.send(d.to, n.cores[d.to].Receive(n.now, peerAddress(d.from), d.data))
+		}
+		for i := n.step % ticks; i < len(n.cores); i += ticks {
+			n.cores[i].SetStatus(membership.Status{Version: 7, Offset: 70, ReadAt: n.now.Truncate(time.Second)})
+			n.send(i, n.cores[i].Tick(n.now))
+		}
+		if n.step%ticks == 0 && until != nil && until() {
+			return n.now.Sub(begun)
+		}
+	}
+	return limit
+}
+
+func (n *network) send(from int, actions []membership.Action) {
+	for _, a := range actions {
+		if send, ok := a.(membership.Send); ok {
+			b := send.To.Addr().As4()
+			n.queue = append(n.queue, datagram{from, int(b[2])<<8 | int(b[3]), send.Datagram})
+			n.bytes += len(send.Datagram) + headerBytes
+		}
+	}
+}
+
+// complete tells whether every member holds every other for alive.
+func (n *network) complete() bool {
+	for _, c := range n.cores {
+		if c.View().Alive != len(n.cores) {
+			return false
+		}
+	}
+	return true
+}
+
+// knows tells whether every member has the present incarnation and change of one.
+func (n *network) knows(i int) bool {
+	self := n.cores[i].Self()
+	for j, c := range n.cores {
+		m := c.Lookup(self.Name)
+		if j != i && (m == nil || m.Incarnation != self.Incarnation || m.Sequence < self.Sequence) {
+			return false
+		}
+	}
+	return true
+}
+
+// observe reports the cost per member of a time.
+func (n *network) observe(r *report, size, phase string, limit time.Duration, until func() bool) {
+	bytes, used := n.bytes, processorTime()
+	took := n.run(limit, until)
+	share := took.Seconds() * float64(len(n.cores))
+	r.add(size, phase+" sent", float64(n.bytes-bytes)/share, "B/s")
+	r.add(size, phase+" processor", (processorTime()-used).Seconds()/share*100, "% of a core")
+	if until != nil {
+		r.add(size, phase+" takes", took.Seconds(), "s")
+	}
+}
+
+func membershipSlopes(_ context.Context, r *report) error {
+	for _, count := range []int{100, 300, 1100} {
+		size := fmt.Sprintf("%d members", count)
+		n := &network{now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(1, 1)), cores: make([]*membership.Core, count)}
+		before := retained()
+		for i := range count {
+			if err := n.start(i); err != nil {
+				return err
+			}
+		}
+		n.observe(r, size, "join of all", settleLimit, n.complete)
+		n.run(observedTime, nil) // the last news gets out
+		n.observe(r, size, "quiet", observedTime, nil)
+		r.add(size, "memory per member of one view", (retained()-before)/float64(count)/float64(count), "B")
+		detail := n.cores[0].Self().Detail
+		detail.Servers = []membership.Server{{Name: "server-0000", Pool: "service-000", Slots: 100, State: membership.ServerDraining}}
+		actions, err := n.cores[0].SetSelf(n.now, detail)
+		if err != nil {
+			return err
+		}
+		n.send(0, actions)
+		n.observe(r, size, "one change", settleLimit, func() bool { return n.knows(0) })
+		for i := 0; i < count; i += restartedHosts {
+			if err := n.start(i); err != nil {
+				return err
+			}
+		}
+		n.observe(r, size, "restart of a zone", settleLimit, func() bool {
+			for i := 0; i < count; i += restartedHosts {
+				if !n.knows(i) {
+					return false
+				}
+			}
+			return n.complete()
+		})
+		runtime.KeepAlive(n)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/slopes/slopes.go
@@ -0,0 +1,130 @@
+// Package slopes measures how the cost of each role of a daemon grows with the
+// size of the installation. docs/CAPACITY.md extrapolates from its figures.
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// part is a group of measurements that can be run by itself.
+type part struct {
+	name string
+	run  func(ctx context.Context, r *report) error
+}
+
+var parts = []part{
+	{"membership", membershipSlopes},
+	{"tables", tablesSlopes},
+	{"rates", ratesSlopes},
+	{"claims", claimsSlopes},
+	{"tickets", ticketsSlopes},
+	{"links", linksSlopes},
+	{"daemons", daemonsSlopes},
+}
+
+// Command returns the subcommand that measures the slopes.
+func Command() *cobra.Command {
+	var only []string
+	names := make([]string, 0, len(parts))
+	for _, p := range parts {
+		names = append(names, p.name)
+	}
+	command := &cobra.Command{
+		Use:   "slopes",
+		Short: "Measures memory, processor time and messages of the daemon's parts at several sizes",
+		Example: `  tarragon-load slopes
+  tarragon-load slopes --only membership,links`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			for _, name := range only {
+				if !slices.Contains(names, name) {
+					return fmt.Errorf("--only names %q; choose from %s", name, strings.Join(names, ", "))
+				}
+			}
+			r := &report{out: command.OutOrStdout()}
+			for _, p := range parts {
+				if len(only) > 0 && !slices.Contains(only, p.name) {
+					continue
+				}
+				fmt.Fprintf(r.out, "# %s, load average %s\n", p.name, loadAverage())
+				if err := p.run(command.Context(), r); err != nil {
+					return fmt.Errorf("measure %s: %w", p.name, err)
+				}
+			}
+			return nil
+		},
+	}
+	command.Flags().StringSliceVar(&only, "only", nil, "parts to measure, of "+strings.Join(names, ", ")+"; empty means all")
+	return command
+}
+
+// report prints one line per figure.
+type report struct{ out io.Writer }
+
+func (r *report) add(size, figure string, value float64, unit string) {
+	fmt.Fprintf(r.out, "%-34s %-32s %12.4g %s\n", size, figure, value, unit)
+}
+
+// loadAverage returns the machine's load, which qualifies every timing.
+func loadAverage() string {
+	content, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(content))[:3], " ")
+}
+
+// processorTime returns the time that this process has run, in all its threads.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// retained returns the bytes of heap and stacks in use after a collection.
+func retained() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+const (
+	operationTime   = 200 * time.Millisecond
+	operationRounds = 3
+)
+
+// operation reports the least and the greatest processor time of several
+// rounds and the bytes allocated per call. Time includes garbage collection.
+func (r *report) operation(size, figure string, f func()) {
+	f()
+	var times []float64
+	var before, after runtime.MemStats
+	calls := 0
+	runtime.ReadMemStats(&before)
+	for range operationRounds {
+		n, begun, end := 0, processorTime(), time.Now().Add(operationTime)
+		for ; time.Now().Before(end); n++ {
+			f()
+		}
+		times = append(times, float64((processorTime()-begun).Nanoseconds())/float64(n)/1e3)
+		calls += n
+	}
+	runtime.ReadMemStats(&after)
+	r.add(size, figure+" least", slices.Min(times), "us")
+	r.add(size, figure+" greatest", slices.Max(times), "us")
+	r.add(size, figure+" allocates", float64(after.TotalAlloc-before.TotalAlloc)/float64(calls), "B")
+}
--- /dev/null
+++ b/internal/process/slopes/slopes_suite_test.go
@@ -0,0 +1,49 @@
+package slopes
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/process/membership"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+func TestSlopes(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "slopes")
+}
+
+var _ = ginkgo.Describe("slopes", func() {
+	// Guards against figures of members that never met: they would look cheap.
+	ginkgo.It("lets the members of the virtual network find each other and learn of restarts", func() {
+		n := &network{now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(1, 1)), cores: make([]*membership.Core, 20)}
+		for i := range n.cores {
+			gomega.Expect(n.start(i)).To(gomega.Succeed())
+		}
+		gomega.Expect(n.run(settleLimit, n.complete)).To(gomega.BeNumerically("<", time.Minute))
+		gomega.Expect(n.start(3)).To(gomega.Succeed())
+		gomega.Expect(n.knows(3)).To(gomega.BeFalse())
+		gomega.Expect(n.run(settleLimit, func() bool { return n.complete() && n.knows(3) })).To(gomega.BeNumerically("<", time.Minute))
+	})
+
+	// Guards against figures of tables that lack rows.
+	ginkgo.It("writes tables with the numbers of rows that it names", func() {
+		t, err := tables.Parse(tableText(390, 100, 1100))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(t.Rows()).To(gomega.Equal(130 + 390 + 2*100 + 1100))
+	})
+
+	// Guards against a mistyped part that measures nothing and reports success.
+	ginkgo.It("refuses an unknown part", func() {
+		command, out := Command(), &bytes.Buffer{}
+		command.SetArgs([]string{"--only", "link"})
+		command.SetOut(out)
+		command.SetErr(out)
+		gomega.Expect(command.Execute()).To(gomega.MatchError(gomega.ContainSubstring("choose from membership")))
+	})
+})
