Let the send queue of a peer link grow with its content

Cause: each link reserved room for 8,192 frames, 196 KB, although nearly all links are idle. 32 MB held 149 link ends and nothing else; a daemon that calls 8 pools has up to 128 links of its own and about as many of its callers.

Change: a queue that grows up to the same 8,192 frames, keeps their order and gives its room back when it is empty. A full queue closes the link as before. Ruled out: a shorter channel, which would close links in bursts that pass today.

--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -17,7 +17,7 @@
 	peer   Identity
 	number uint64
 
-	out chan []byte // encoded frames for the write loop
+	out *sendQueue // for the write loop
 
 	closeOnce sync.Once
 	done      chan struct{}
@@ -30,25 +30,20 @@
 // Number implements Link.
 func (l *link) Number() uint64 { return l.number }
 
-// sendQueue is the number of frames that wait for the write loop. A peer that
-// lets more pile up does not read, and its link is closed.
-const sendQueue = 8192
-
 // Send implements Link. It does not wait for the network.
 func (l *link) Send(m wire.Message) error {
 	frame, err := wire.Encode(m)
 	if err != nil {
 		return err
 	}
-	select {
-	case <-l.done:
+	if l.isClosed() {
 		return ErrClosed
-	case l.out <- frame:
-		return nil
-	default:
+	}
+	if !l.out.push(frame) {
 		l.Close("send queue full")
 		return ErrClosed
 	}
+	return nil
 }
 
 // writeLoop writes queued frames until the link is closed. A write that takes
@@ -58,11 +53,8 @@
 		select {
 		case <-l.done:
 			return
-		case frame := <-l.out:
-			ctx, cancel := context.WithTimeout(context.Background(), l.hub.cfg.Silence)
-			err := l.conn.Write(ctx, websocket.MessageBinary, frame)
-			cancel()
-			if err != nil {
+		case <-l.out.wake:
+			if err := l.writeQueued(); err != nil {
 				l.Close("write failed: " + err.Error())
 				return
 			}
@@ -70,6 +62,23 @@
 	}
 }
 
+// writeQueued writes frames until none waits or the link is closed.
+func (l *link) writeQueued() error {
+	for !l.isClosed() {
+		frame, ok := l.out.pop()
+		if !ok {
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), l.hub.cfg.Silence)
+		err := l.conn.Write(ctx, websocket.MessageBinary, frame)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close implements Link.
 func (l *link) Close(reason string) {
 	l.closeOnce.Do(func() {
--- /dev/null
+++ b/internal/connection/peer/queue_test.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"encoding/binary"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against frames that are lost, repeated or reordered, and against a
+// queue that grows without bound for a peer that does not read.
+func TestSendQueueKeepsOrderAndBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newSendQueue()
+		var pushed, popped uint64
+		for _, step := range rapid.SliceOfN(rapid.IntRange(-6000, 6000), 1, 20).Draw(t, "pushes and pops") {
+			for ; step > 0; step-- {
+				if ok := q.push(binary.BigEndian.AppendUint64(nil, pushed)); ok != (pushed-popped < maxQueued) {
+					t.Fatalf("push with %d frames waiting returned %v", pushed-popped, ok)
+				} else if ok {
+					pushed++
+				}
+			}
+			for ; step < 0; step++ {
+				frame, ok := q.pop()
+				if ok != (popped < pushed) || ok && binary.BigEndian.Uint64(frame) != popped {
+					t.Fatalf("pop %d of %d returned %v, %v", popped, pushed, frame, ok)
+				} else if ok {
+					popped++
+				}
+			}
+			if pushed == popped && cap(q.frames) > keptFrames {
+				t.Fatalf("the empty queue keeps room for %d frames", cap(q.frames))
+			}
+		}
+	})
+}
+
+// Guards against a write loop that sleeps while frames wait.
+func TestSendQueueWakesTheWriter(t *testing.T) {
+	q := newSendQueue()
+	const frames = 20_000
+	go func() {
+		for sent := 0; sent < frames; {
+			if q.push([]byte{1}) {
+				sent++
+			}
+		}
+	}()
+	for got := 0; got < frames; {
+		<-q.wake
+		for _, ok := q.pop(); ok; _, ok = q.pop() {
+			got++
+		}
+	}
+}
