Keep the limit within the slots when a trial ends

Cause: a trial that fails restores the limit from before it; if the backend server announced fewer slots meanwhile, the limit was then above them. Change: the restored limit is clamped, and the limit in force never exceeds the slots. The state-machine test changes the slots at random. With the whole cap taken out the test fails: property_test.go:82: [rapid] failed after 0 tests: 1 running on 0 slots. It is too short to reach a trial, so the restored limit itself is covered by the clamp only, not by a test.

--- a/internal/request/admission/experiment_test.go
+++ b/internal/request/admission/experiment_test.go
@@ -270,12 +270,10 @@
 			result := fmt.Sprintf("seed %d: before %.0f/s, goodput %.3f of peak, waste %.2f%%, recovery %v, worst workspace %.3f, served by importance %.2f",
 				seed, s.rate(time.Second, simFrom), good, 100*lost, s.recovery(), s.worst(), s.served())
 			AddReportEntry(result)
-			Expect(good).To(BeNumerically(">=", goodput), result)
-			Expect(lost).To(BeNumerically("<=", waste), result)
-			Expect(s.recovery()).To(BeNumerically("<=", time.Second), result)
-			Expect(s.worst()).To(BeNumerically(">=", worst), result)
+			Expect(min(good-goodput, waste-lost, s.worst()-worst)).To(BeNumerically(">=", 0), "%s", result)
+			Expect(s.recovery()).To(BeNumerically("<=", time.Second), "%s", result)
 			for i, share := range s.served() {
-				Expect(share).To(BeNumerically("<=", s.served()[max(0, i-1)]+0.05), result)
+				Expect(share).To(BeNumerically("<=", s.served()[max(0, i-1)]+0.05), "%s", result)
 			}
 		}
 	},
--- a/internal/request/admission/limiter.go
+++ b/internal/request/admission/limiter.go
@@ -177,7 +177,7 @@
 
 // current returns the limit in whole requests.
 func (l *limiter) current() int {
-	return max(min(1, l.slots), int(l.limit+0.5))
+	return min(max(1, int(l.limit+0.5)), l.slots)
 }
 
 // setSlots sets the hard cap. A limit that was at the cap stays there.
@@ -395,7 +395,7 @@
 		}
 		return
 	}
-	l.limit = t.from
+	l.set(t.from)
 	l.settle(now, t.before.mean)
 	l.raises = 0
 	shortest, longest := l.raisePauses()
@@ -415,7 +415,7 @@
 		l.raise.begin(now, shortest)
 		return
 	}
-	l.limit = t.from
+	l.set(t.from)
 	l.settle(now, t.before.mean)
 	if t.cause == causeShed {
 		l.shedLower.failed(now, minShedLowerPause, maxShedLowerPause)
--- a/internal/request/admission/property_test.go
+++ b/internal/request/admission/property_test.go
@@ -15,6 +15,7 @@
 	c       *Controller
 	now     time.Time
 	next    int
+	slots   int
 	queued  map[ID]Request
 	running map[ID]time.Time
 }
@@ -29,6 +30,12 @@
 	return r
 }
 
+func (m *model) start(t *rapid.T, id ID) {
+	if m.running[id] = m.now; len(m.running) > m.slots {
+		t.Fatalf("%d running on %d slots", len(m.running), m.slots)
+	}
+}
+
 func (m *model) offer(t *rapid.T, r Request) {
 	d := m.c.Offer(m.now, r)
 	switch d.Action {
@@ -36,7 +43,7 @@
 		if len(m.queued) > 0 {
 			t.Fatalf("started before %d queued requests", len(m.queued))
 		}
-		m.running[r.ID] = m.now
+		m.start(t, r.ID)
 	case Queued:
 		m.queued[r.ID] = r
 	}
@@ -64,7 +71,7 @@
 				t.Fatalf("started importance %d before %d", r.Importance, other.Importance)
 			}
 		}
-		m.running[id] = m.now
+		m.start(t, id)
 	}
 }
 
@@ -73,17 +80,15 @@
 // in service or in the queue than allowed.
 func TestControllerProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		slots := rapid.IntRange(1, 4).Draw(t, "slots")
 		maxQueued := rapid.IntRange(1, 6).Draw(t, "maxQueued")
-		m := &model{c: newController(slots, Config{MaxQueued: maxQueued}), now: begin,
+		m := &model{c: newController(4, Config{MaxQueued: maxQueued}), now: begin, slots: 4,
 			queued: map[ID]Request{}, running: map[ID]time.Time{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"offer": func(t *rapid.T) {
 				m.next++
 				r := request(m.next, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
 					rapid.Uint8Range(0, 7).Draw(t, "importance"))
-				r.RootHash = rapid.Uint8().Draw(t, "hash")
-				r.Depth = rapid.Uint8Range(0, 1).Draw(t, "depth")
+				r.RootHash, r.Depth = rapid.Uint8().Draw(t, "hash"), rapid.Uint8Range(0, 1).Draw(t, "depth")
 				r.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 				m.offer(t, r)
 			},
@@ -105,14 +110,15 @@
 				}
 				delete(m.queued, i)
 			},
-			"wait": func(t *rapid.T) {
+			"wait and announce slots": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				m.slots = rapid.IntRange(0, 4).Draw(t, "slots")
+				m.c.SetSlots(m.now, m.slots)
 				m.step(t)
 			},
 			"": func(t *rapid.T) {
-				r, q := len(m.running), len(m.queued)
-				s := m.c.Stats(m.now)
-				if r > slots || s.InFlight != r || q > maxQueued || s.Queued != q || m.c.NextWake().IsZero() != (q == 0) {
+				r, q, s := len(m.running), len(m.queued), m.c.Stats(m.now)
+				if s.InFlight != r || q > maxQueued || s.Queued != q || m.c.NextWake().IsZero() != (q == 0) {
 					t.Fatalf("%d running, %d queued, wake %v, %+v", r, q, m.c.NextWake(), s)
 				}
 			},
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -78,8 +78,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		for depth := 1; depth <= 10; depth++ {
 			for credits := range 4 {
-				s := &tree{fanOut: fanOut, lost: func() bool { return rng.Float64() < lost }}
-				a := NewAccount(Credits(credits))
+				a, s := NewAccount(Credits(credits)), &tree{fanOut: fanOut, lost: func() bool { return rng.Float64() < lost }}
 				s.call(&a, depth)
 				Expect(s.runs).To(BeNumerically("<=", (1+credits)*plain(fanOut, depth)), "depth %d, credits %d", depth, credits)
 				Expect(lost > 0 || s.runs > plain(fanOut, depth)).To(Equal(lost > 0 || credits > 0), "retries at depth %d, credits %d", depth, credits)
@@ -168,8 +167,7 @@
 	b.ReportAllocs()
 	budget := NewBudget(1)
 	for b.Loop() {
-		a := NewAccount(2)
-		c := Call{Idempotent: true}
+		a, c := NewAccount(2), Call{Idempotent: true}
 		Begin(&c, &a, budget)
 		Decide(&c, &a, budget, Responded(503, 1), time.Second, 0)
 	}
