--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -82,8 +82,10 @@
 func run(loaded *settings.Daemon) int {
 	level, _ := logging.ParseLevel(loaded.Log.Level)
 	logging.Setup(level, nil)
+	var d *daemon.Daemon
 	app := fx.New(
 		fx.Supply(loaded),
+		fx.Populate(&d),
 		fx.Provide(metrics.New, newLog, newServer, newDaemon),
 		fx.Invoke(register),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -101,7 +103,10 @@
 		logging.ErrorEvent("daemon", "start-failed", err)
 		return exitFailed
 	}
-	<-signals
+	select {
+	case <-signals:
+	case <-d.Superseded():
+	}
 	go func() {
 		<-signals
 		logging.Flush()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -69,6 +69,8 @@
 	tickets       *tickets
 	handover      *handover
 
+	supersede   sync.Once
+	superseded  chan struct{}
 	viewChanged chan struct{}
 	listeners   map[string]net.Listener
 	servers     map[string]*http.Server
@@ -93,12 +95,20 @@
 		log:         outside.Log,
 		client:      outside.Server,
 		metrics:     outside.Metrics,
+		superseded:  make(chan struct{}),
 		viewChanged: make(chan struct{}, 1),
 		listeners:   make(map[string]net.Listener),
 		servers:     make(map[string]*http.Server),
 	}
 }
 
+// errSuperseded means that a later daemon has this one's name.
+var errSuperseded = errors.New("a later daemon runs under this member name; give each daemon a name of its own")
+
+// Superseded returns a channel that is closed when a later daemon runs under
+// this one's name. This one must then stop.
+func (d *Daemon) Superseded() <-chan struct{} { return d.superseded }
+
 // Start opens the ports and starts all parts. ctx bounds the start only.
 func (d *Daemon) Start(ctx context.Context) error {
 	if err := d.listen(); err != nil {
@@ -352,7 +362,8 @@
 	case membership.MemberChanged:
 		logging.DebugEvent("daemon", "member-changed", "member", a.Member.Name, "reason", string(a.Reason))
 	case membership.Superseded:
-		logging.Event("daemon", "superseded", "incarnation", a.Incarnation)
+		logging.ErrorEvent("daemon", "superseded", errSuperseded, "incarnation", a.Incarnation)
+		d.supersede.Do(func() { close(d.superseded) })
 	}
 	d.noteView()
 }
