Report a shed call as shed, and do not retry it

Cause: with one upstream in a pool, a call whose attempt was refused as overloaded ended as no-upstream, since no other upstream was left to move to. The run that made it then did not count as shed below, and its 502 was retried. Change: the refusal of the last attempt is kept; an answer says whether a call of its run was shed, such answers are delivered and not retried, and the note travels up the whole tree.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -131,6 +131,8 @@
 	Threshold Threshold `cbor:"5,keyasint"`
 	QueueMS   uint32    `cbor:"6,keyasint,omitempty"`
 	ServiceMS uint32    `cbor:"7,keyasint,omitempty"`
+	// ShedBelow tells that the run made a call which was shed.
+	ShedBelow bool `cbor:"8,keyasint,omitempty"`
 }
 
 // AnswerAck lets the executing daemon drop the kept answer.
--- a/internal/process/daemon/dispatcher.go
+++ b/internal/process/daemon/dispatcher.go
@@ -32,6 +32,8 @@
 	// guard, if set, allows each attempt before it is sent and learns of each
 	// attempt that was proven not to run. Non-idempotent calls need it.
 	guard attemptGuard
+	// shed is set at the end if the call, or a call below it, was shed.
+	shed bool
 }
 
 // attemptGuard is the table that allows one attempt of a non-idempotent call at a time.
@@ -148,11 +150,16 @@
 	credits := retry.Begin(&state, c.account, pool.budget)
 	d.mu.Unlock()
 	var excluded []string
+	var last *problem.Problem
 	for number := 1; ; number++ {
 		upstream, refusal := d.pick(c, pool, excluded)
 		if refusal != nil {
 			c.account.Return(credits, credits)
+			if last != nil {
+				refusal = last // the attempt's refusal says more than that no other upstream is left
+			}
 			refusal.Executed = state.Executed()
+			c.shed = refusal.Kind == problem.KindOverloaded
 			return nil, refusal
 		}
 		begun := time.Now()
@@ -162,10 +169,13 @@
 		d.metrics.Attempt(c.route.Pool, decision.Action.String())
 		switch decision.Action {
 		case retry.Deliver:
+			c.shed = end.answer.ShedBelow
 			return end.response, nil
 		case retry.Refuse:
+			c.shed = decision.Kind == problem.KindOverloaded
 			return nil, refusalOf(end, decision)
 		}
+		last = end.refusal
 		credits = decision.Credits
 		excluded = append(excluded, upstream)
 	}
@@ -388,7 +398,9 @@
 	unspent := retry.Credits(a.credits)
 	switch {
 	case a.response != nil:
-		return retry.Responded(a.response.Status, unspent)
+		outcome := retry.Responded(a.response.Status, unspent)
+		outcome.ShedBelow = a.answer.ShedBelow
+		return outcome
 	case a.answer == nil && a.proof == 0:
 		return retry.Lost()
 	default:
--- a/internal/process/daemon/executor.go
+++ b/internal/process/daemon/executor.go
@@ -346,8 +346,9 @@
 		e.server.failed(err)
 	case response.Status == http.StatusServiceUnavailable:
 		outcome = admission.ServerShed
-	case run.shedBelow:
+	case run.shedBelow && response.Status >= http.StatusInternalServerError:
 		outcome = admission.ShedBelow
+		answer.ShedBelow = true
 	}
 	answer.Response = response
 	e.admission.Finish(now, run.attempt.ID, service, outcome)
--- a/internal/process/daemon/serverport.go
+++ b/internal/process/daemon/serverport.go
@@ -55,9 +55,6 @@
 	token := r.Header.Get(backend.HeaderRequestToken)
 	response, refusal := p.call(r, token)
 	if refusal != nil {
-		if refusal.Kind == problem.KindOverloaded {
-			p.executor.noteShedBelow(token)
-		}
 		refusal.Write(w)
 		return
 	}
@@ -180,6 +177,9 @@
 	account := p.takeCredits(token, c.context.Credits)
 	c.account = &account
 	response, refusal := p.dispatcher.run(ctx, c)
+	if c.shed {
+		p.executor.noteShedBelow(token)
+	}
 	p.executor.withChildren(func(children *execution.Children) {
 		children.ReturnCredits(token, uint8(account.Left()))
 		switch {
--- a/internal/request/retry/decide.go
+++ b/internal/request/retry/decide.go
@@ -20,6 +20,9 @@
 	Executed problem.Executed
 	// Unspent are the credits that came back with the answer; 0 without an answer.
 	Unspent Credits
+	// ShedBelow is true for a response of a run that made a call which was shed.
+	// A retry would be shed again, and would add to the overload below.
+	ShedBelow bool
 }
 
 // Responded is the outcome of a complete response.
@@ -94,6 +97,7 @@
 // The reasons.
 const (
 	ReasonResponse        Reason = "response"                 // deliver: a response that is final
+	ReasonShedBelow       Reason = "shed-below"               // deliver: a call of the run was shed
 	ReasonNotIdempotent   Reason = "not-idempotent"           // deliver or refuse: it may have run
 	ReasonNoCredits       Reason = "no-credits"               // deliver or refuse
 	ReasonNoBudget        Reason = "retry-budget-exhausted"   // deliver or refuse
@@ -133,6 +137,9 @@
 		return decideNotExecuted(c, a, o.Refusal, remaining, needed)
 	}
 	c.mayHaveRun = true
+	if o.Status != 0 && o.ShedBelow {
+		return Decision{Action: Deliver, Reason: ReasonShedBelow}
+	}
 	if o.Status != 0 && !retryableStatus(o.Status) {
 		return Decision{Action: Deliver, Reason: ReasonResponse}
 	}
