Add leases, consent and claims of rate groups

Cause: a rate group must have one keeper whose grants count, although keepers are paused, cut off, restarted or replaced and the platform is down or loses answers. Change: record.go is the codec of claims, lease.go the right to grant and the successor's consent, claims.go the state machine over the keepers stream. The record with the greatest epoch holds, and of equal epochs the first in the log, so that a late or repeated append has no effect. A claim that may leave a keeper going on by consent says so; its successors wait for that until a keeper has reported that it started. HolderID is renamed to DaemonID. The simulation in the tests now runs the claims as well.

--- a/internal/process/ratelimit/keeper.go
+++ b/internal/process/ratelimit/keeper.go
@@ -30,8 +30,8 @@
 	epochShift = 40
 )
 
-// HolderID identifies one run of a daemon as the holder of tokens.
-type HolderID struct {
+// DaemonID identifies one run of a daemon.
+type DaemonID struct {
 	Member      string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 }
@@ -57,7 +57,7 @@
 // keeperGrant is one grant that has not ended.
 type keeperGrant struct {
 	number   uint64
-	holder   HolderID
+	holder   DaemonID
 	key      sliceKey
 	granted  uint32
 	spent    uint32 // reported so far
@@ -78,7 +78,7 @@
 	group, groups uint32
 	number        uint64 // of the last grant
 	buckets       map[sliceKey]*bucket
-	holders       map[HolderID]*keeperHolder
+	holders       map[DaemonID]*keeperHolder
 	grants        map[uint64]*keeperGrant
 	ends          []*keeperGrant // in order of their ends
 	handedOver    bool
@@ -91,7 +91,7 @@
 	return &Keeper{
 		group: group, groups: groups, number: epoch << epochShift,
 		buckets: map[sliceKey]*bucket{},
-		holders: map[HolderID]*keeperHolder{},
+		holders: map[DaemonID]*keeperHolder{},
 		grants:  map[uint64]*keeperGrant{},
 	}
 }
@@ -133,7 +133,7 @@
 // grant, so duplicates and reordered requests have no effect. A reply entry
 // has WaitMS set if less was granted than wanted, that is, if the slice is
 // empty.
-func (k *Keeper) Grant(now, right time.Time, holder HolderID, request *wire.GrantRequest) (wire.GrantReply, GrantReason) {
+func (k *Keeper) Grant(now, right time.Time, holder DaemonID, request *wire.GrantRequest) (wire.GrantReply, GrantReason) {
 	reply := wire.GrantReply{Number: request.Number, Group: request.Group}
 	refuse := func(reason GrantReason) (wire.GrantReply, GrantReason) {
 		reply.Refused = string(reason)
@@ -174,7 +174,7 @@
 }
 
 // grant answers one wanted entry.
-func (k *Keeper) grant(now time.Time, id HolderID, h *keeperHolder, e *wire.GrantEntry) wire.GrantEntry {
+func (k *Keeper) grant(now time.Time, id DaemonID, h *keeperHolder, e *wire.GrantEntry) wire.GrantEntry {
 	out := wire.GrantEntry{Workspace: e.Workspace, Slice: e.Slice, Want: e.Want}
 	b, ok := k.buckets[sliceKey{e.Workspace, e.Slice}]
 	if !ok {
@@ -200,7 +200,7 @@
 }
 
 // settle applies a report to an open grant of the holder.
-func (k *Keeper) settle(now time.Time, holder HolderID, e *wire.GrantEntry) {
+func (k *Keeper) settle(now time.Time, holder DaemonID, e *wire.GrantEntry) {
 	g, ok := k.grants[e.Grant]
 	if !ok || g.holder != holder {
 		return
@@ -284,7 +284,7 @@
 	}
 	grantState struct {
 		Number    uint64        `cbor:"1,keyasint"`
-		Holder    HolderID      `cbor:"2,keyasint"`
+		Holder    DaemonID      `cbor:"2,keyasint"`
 		Workspace string        `cbor:"3,keyasint"`
 		Slice     uint8         `cbor:"4,keyasint"`
 		Open      uint32        `cbor:"5,keyasint"`
@@ -293,13 +293,14 @@
 		Remaining time.Duration `cbor:"8,keyasint"`
 	}
 	holderState struct {
-		Holder HolderID `cbor:"1,keyasint"`
+		Holder DaemonID `cbor:"1,keyasint"`
 		Last   uint64   `cbor:"2,keyasint"`
 	}
 )
 
 // HandOver ends the keeper and returns its state for the successor, to be sent
 // as wire.Handover of kind "groups". The keeper grants nothing afterwards.
+// Calling it again returns the state as of the new time, for another member.
 func (k *Keeper) HandOver(now time.Time) ([]byte, error) {
 	k.expire(now)
 	k.handedOver = true
--- a/internal/process/ratelimit/ratelimit_test.go
+++ b/internal/process/ratelimit/ratelimit_test.go
@@ -16,9 +16,12 @@
 )
 
 func TestMain(m *testing.M) {
-	// A fixed seed makes every run check the same cases.
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
+	// A fixed seed makes every run check the same cases. The command line can
+	// ask for other seeds and more checks.
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	flag.Parse()
 	os.Exit(m.Run())
@@ -60,7 +63,7 @@
 var far = start.Add(24 * time.Hour)
 
 var _ = Describe("keeper", func() {
-	id := HolderID{"a", 1}
+	id := DaemonID{"a", 1}
 	entry := func(want uint32) wire.GrantEntry { return wire.GrantEntry{Workspace: "w", Want: want} }
 	ask := func(k *Keeper, now time.Time, number uint64, e ...wire.GrantEntry) wire.GrantEntry {
 		reply, reason := k.Grant(now, far, id, &wire.GrantRequest{Number: number, Entries: e})
@@ -348,6 +351,6 @@
 		now = now.Add(time.Microsecond)
 		request.Number++
 		request.Entries[0].Grant, request.Entries[0].Spent = k.number, 3
-		k.Grant(now, far, HolderID{"a", 1}, &request)
+		k.Grant(now, far, DaemonID{"a", 1}, &request)
 	}
 }
--- a/internal/process/ratelimit/sim_test.go
+++ b/internal/process/ratelimit/sim_test.go
@@ -1,11 +1,14 @@
 package ratelimit
 
 import (
-	"container/heap"
+	"cmp"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/platform"
 	"tarragonshore.example/tarragonshore/internal/version/tables"
 )
 
@@ -14,35 +17,30 @@
 type sim struct {
 	rng       *rand.Rand
 	now       time.Duration
-	events    eventQueue
-	serial    int
+	events    []event // in order of time
 	nodes     []*simNode
 	groups    uint32
 	limits    []tables.Workspace
 	loss, dup float64
 	delay     func() time.Duration
 	audits    map[string]*audit
-	keeperOf  func(group uint32) *simNode
+
+	log        [][]byte // the keepers stream
+	down       bool     // the platform
+	lostAnswer float64  // share of appends without an answer
+	grantEnds  map[uint32]grantEnd
+	fault      string // first violated invariant
 }
 
-type event struct {
+// grantEnd is the latest end of a group's grants, in global time.
+type grantEnd struct {
+	keeper DaemonID
 	at     time.Duration
-	serial int
-	run    func()
 }
 
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].serial < q[j].serial)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
+type event struct {
+	at  time.Duration
+	run func()
 }
 
 // audit is a full token bucket in global time. Its level never falls below 0
@@ -63,42 +61,221 @@
 
 type simNode struct {
 	s           *sim
-	id          HolderID
+	id          DaemonID
 	skew        float64
 	offset      time.Duration
 	pausedUntil time.Duration
-	dead        bool
+	dead, cut   bool // cut off from the platform
+	leaving     bool
 	holder      *Holder
+	claims      *Claims
 	keepers     map[uint32]*Keeper
-	right       func(group uint32) time.Time
+	states      map[uint32][]byte // received handed-over states
 	waiters     map[string][]time.Time
+	usedAt      time.Duration
+	ticking     bool
+	blindUntil  map[string]time.Duration // members missing in this node's view though alive
 }
 
+// newSim starts the nodes and lets them claim the groups of an empty log.
 func newSim(seed uint64, nodes int, groups uint32, limits ...tables.Workspace) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), groups: groups, limits: limits, audits: map[string]*audit{}}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), groups: groups, limits: limits,
+		audits: map[string]*audit{}, grantEnds: map[uint32]grantEnd{}}
 	s.delay = func() time.Duration { return time.Millisecond + time.Duration(s.rng.IntN(int(time.Millisecond))) }
 	for _, w := range limits {
 		s.audits[w.Name] = &audit{limit: w, level: float64(w.Burst)}
 	}
 	for i := range nodes {
-		n := &simNode{s: s, id: HolderID{string(rune('a' + i)), 1},
-			skew: 0.953 + 0.047*s.rng.Float64(), offset: time.Duration(s.rng.Int64N(int64(time.Hour))),
-			keepers: map[uint32]*Keeper{}, waiters: map[string][]time.Time{}}
-		n.right = func(uint32) time.Time { return n.clock().Add(time.Second) }
-		n.holder = NewHolder(groups, s.rng)
-		n.holder.SetLimits(n.clock(), limits)
-		s.nodes = append(s.nodes, n)
-		n.tick()
-	}
-	for g := range groups {
-		n := s.nodes[int(g)%nodes]
-		n.keepers[g] = NewKeeper(g, groups, 1)
-		n.keepers[g].SetLimits(n.clock(), limits)
-	}
-	s.keeperOf = func(g uint32) *simNode { return s.nodes[int(g)%nodes] }
+		s.nodes = append(s.nodes, s.newNode(DaemonID{string(rune('a' + i)), 1}))
+	}
+	s.run(2*rankDelay + time.Second)
 	return s
 }
 
+func (s *sim) newNode(id DaemonID) *simNode {
+	n := &simNode{s: s, id: id,
+		skew: 0.953 + 0.047*s.rng.Float64(), offset: time.Duration(s.rng.Int64N(int64(time.Hour))),
+		keepers: map[uint32]*Keeper{}, states: map[uint32][]byte{}, blindUntil: map[string]time.Duration{}, waiters: map[string][]time.Time{}}
+	n.holder = NewHolder(s.groups, s.rng)
+	n.holder.SetLimits(n.clock(), s.limits)
+	n.claims = NewClaims(n.member(), s.groups, 100*time.Hour, s.rng)
+	s.at(n, 0, n.slowTick)
+	s.at(n, 0, n.read)
+	return n
+}
+
+func (n *simNode) member() Member {
+	return Member{n.id, string(rune('x' + n.id.Member[0]%3)), n.id.Member, n.leaving}
+}
+
+// node returns the running incarnation of a member, or nil.
+func (s *sim) node(member string) *simNode {
+	for _, n := range s.nodes {
+		if n.id.Member == member && !n.dead {
+			return n
+		}
+	}
+	return nil
+}
+
+// claim returns the claim of a group that holds by the log.
+func (s *sim) claim(group uint32) (last Claim) {
+	for _, data := range s.log {
+		if c, err := DecodeClaim(data, s.groups); err == nil && c.Group == group && c.Epoch > last.Epoch {
+			last = c
+		}
+	}
+	return last
+}
+
+// restart replaces a node by its next incarnation.
+func (s *sim) restart(n *simNode) *simNode {
+	n.dead = true
+	for i := range s.nodes {
+		if s.nodes[i] == n {
+			s.nodes[i] = s.newNode(DaemonID{n.id.Member, n.id.Incarnation + 1})
+			return s.nodes[i]
+		}
+	}
+	return nil
+}
+
+// slowTick updates the membership view and runs the claims. A node that is
+// paused for long counts as dead, and some views are wrong for a time.
+func (n *simNode) slowTick() {
+	var alive []Member
+	for _, m := range n.s.nodes {
+		if !m.dead && m.pausedUntil < n.s.now+time.Second && n.s.now >= n.blindUntil[m.id.Member] {
+			alive = append(alive, m.member())
+		}
+	}
+	n.claims.Members(alive)
+	n.do(n.claims.Tick(n.clock()))
+	n.s.at(n, ClaimsTick, n.slowTick)
+}
+
+// read reads the log again and again.
+func (n *simNode) read() {
+	started, from := n.clock(), n.claims.Position()
+	n.s.at(nil, n.s.delay(), func() {
+		if n.s.down || n.cut {
+			n.s.at(n, time.Second, n.read)
+			return
+		}
+		batch := platform.Batch{Next: platform.Offset(len(n.s.log))}
+		for i := from; i < batch.Next; i++ {
+			batch.Records = append(batch.Records, platform.Record{Offset: i, Data: n.s.log[i]})
+		}
+		n.s.at(n, n.s.delay(), func() {
+			n.do(n.claims.ReadBatch(n.clock(), started, batch))
+			n.s.at(n, 100*time.Millisecond, n.read)
+		})
+	})
+}
+
+// append adds a claim to the log. A lost answer comes with an append that took
+// effect, that will take effect later, or that never will.
+func (n *simNode) append(claim Claim) {
+	data, err := EncodeClaim(claim)
+	if err != nil {
+		panic(err)
+	}
+	effect, err := n.s.delay(), error(nil)
+	if n.s.down || n.cut || n.s.rng.Float64() < n.s.lostAnswer {
+		err = platform.ErrUnknown
+		switch chance := n.s.rng.IntN(4); {
+		case chance == 0:
+			err = platform.ErrRejected
+		case n.s.down || n.cut || chance == 1:
+			effect = time.Duration(n.s.rng.IntN(int(10 * time.Second)))
+		}
+	}
+	if err != platform.ErrRejected {
+		n.s.at(nil, effect, func() {
+			if !n.s.down {
+				n.s.log = append(n.s.log, data)
+			}
+		})
+	}
+	n.s.at(n, 2*n.s.delay(), func() { n.claims.Appended(n.clock(), claim, err) })
+}
+
+// do carries out actions.
+func (n *simNode) do(actions []Action) {
+	s := n.s
+	for _, action := range actions {
+		switch a := action.(type) {
+		case *AppendClaim:
+			n.append(a.Claim)
+		case *AskConsent:
+			if to := s.node(a.To.Member); to != nil && to.id == a.To {
+				s.deliver(to, func() {
+					reply := to.claims.ConsentRequest(to.clock(), n.id, a.Request)
+					s.deliver(n, func() { n.claims.ConsentReply(to.id, &reply) })
+				})
+			}
+		case *StartGranting:
+			n.keepers[a.Group] = NewKeeper(a.Group, s.groups, a.Epoch)
+			if a.FromState {
+				k, err := TakeOver(n.clock(), n.states[a.Group], a.Epoch)
+				if err != nil {
+					panic(err)
+				}
+				n.keepers[a.Group] = k
+				s.grantEnds[a.Group] = grantEnd{n.id, s.grantEnds[a.Group].at} // it counts the old grants
+			}
+			n.keepers[a.Group].SetLimits(n.clock(), s.limits)
+		case *StopGranting:
+			delete(n.keepers, a.Group)
+		case *ProbeDeath:
+			if m := s.node(a.Address); m == nil || m.id != a.Keeper {
+				s.deliver(n, func() { n.claims.Died(n.clock(), a.Keeper) })
+			}
+		case *HandOver:
+			n.handOver(a)
+		}
+	}
+}
+
+func (n *simNode) handOver(a *HandOver) {
+	data, err := n.keepers[a.Group].HandOver(n.clock())
+	if err != nil {
+		panic(err)
+	}
+	acked := false
+	if to := n.s.node(a.To.Member); to != nil && to.id == a.To {
+		n.s.deliver(to, func() {
+			to.states[a.Group] = data
+			to.do(to.claims.StateReceived(to.clock(), a.Group, n.id))
+			n.s.deliver(n, func() {
+				acked = true
+				n.do(n.claims.HandedOver(n.clock(), a.Group, true))
+			})
+		})
+	}
+	n.s.at(n, time.Second, func() {
+		if !acked {
+			n.do(n.claims.HandedOver(n.clock(), a.Group, false))
+		}
+	})
+}
+
+// granted checks that no two keepers of a group have grants at the same time.
+func (s *sim) granted(keeper, holder *simNode, sent time.Duration, reply wire.GrantReply) {
+	for _, e := range reply.Entries {
+		if e.Granted == 0 {
+			continue
+		}
+		last := s.grantEnds[reply.Group]
+		if last.keeper != keeper.id && last.keeper.Member != "" && s.now < last.at && s.fault == "" {
+			s.fault = fmt.Sprintf("at %v keeper %v of group %d grants while grants of %v last until %v",
+				s.now, keeper.id, reply.Group, last.keeper, last.at)
+		}
+		end := sent + time.Duration(float64(GrantTime)/holder.skew)
+		s.grantEnds[reply.Group] = grantEnd{keeper.id, max(end, last.at)}
+	}
+}
+
 // clock is the node's monotonic clock.
 func (n *simNode) clock() time.Time {
 	return time.Unix(0, 0).Add(n.offset + time.Duration(float64(n.s.now)*n.skew))
@@ -106,8 +283,7 @@
 
 // at runs f on a node, or on none if it is nil. A paused node runs it later.
 func (s *sim) at(n *simNode, after time.Duration, f func()) {
-	s.serial++
-	heap.Push(&s.events, event{s.now + after, s.serial, func() {
+	e := event{s.now + after, func() {
 		switch {
 		case n == nil:
 			f()
@@ -118,13 +294,16 @@
 		default:
 			f()
 		}
-	}})
+	}}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int { return cmp.Or(cmp.Compare(a.at, b.at), -1) })
+	s.events = slices.Insert(s.events, i, e)
 }
 
 func (s *sim) run(d time.Duration) {
 	end := s.now + d
 	for len(s.events) > 0 && s.events[0].at <= end {
-		e := heap.Pop(&s.events).(event)
+		e := s.events[0]
+		s.events = s.events[1:]
 		s.now = e.at
 		e.run()
 	}
@@ -150,8 +329,12 @@
 		if s.now >= end {
 			return
 		}
-		n := nodes[s.rng.IntN(len(nodes))]
-		s.at(n, 0, func() { n.request(workspace) })
+		for range 5 { // callers of a dead node turn to another one
+			if n := s.node(nodes[s.rng.IntN(len(nodes))].id.Member); n != nil {
+				s.at(n, 0, func() { n.request(workspace) })
+				break
+			}
+		}
 		gap := 1 / rate
 		if !steady {
 			gap *= s.rng.ExpFloat64()
@@ -171,12 +354,14 @@
 
 func (n *simNode) request(workspace string) {
 	now := n.clock()
+	n.usedAt = n.s.now
+	if !n.ticking {
+		n.ticking = true
+		n.s.at(n, Tick, n.tick)
+	}
 	d := n.holder.Take(now, workspace)
 	if !n.ended(workspace, d) {
 		n.waiters[workspace] = append(n.waiters[workspace], now)
-		if len(n.waiters[workspace]) == 1 {
-			n.s.at(n, AnswerTime*11/10, func() { n.again(workspace) })
-		}
 	}
 	if d.Send {
 		n.send()
@@ -211,31 +396,36 @@
 		}
 	}
 	n.waiters[workspace] = still
-	if len(still) > 0 {
-		n.s.at(n, AnswerTime/10, func() { n.again(workspace) })
-	}
 	if send {
 		n.send()
 	}
 }
 
 func (n *simNode) tick() {
+	for w := range n.waiters {
+		n.again(w)
+	}
 	n.send()
-	n.s.at(n, Tick, n.tick)
+	n.ticking = n.s.now-n.usedAt < 5*time.Second // later all grants have ended
+	if n.ticking {
+		n.s.at(n, Tick, n.tick)
+	}
 }
 
 // send passes the holder's messages to the keepers and the replies back.
 func (n *simNode) send() {
 	for _, r := range n.holder.Requests(n.clock()) {
-		keeper := n.s.keeperOf(r.Group)
-		if keeper == nil {
+		claim, known := n.claims.Keeper(r.Group)
+		keeper, sent := n.s.node(claim.Keeper.Member), n.s.now
+		if !known || keeper == nil {
 			n.failed(r.Number)
 			continue
 		}
 		n.s.deliver(keeper, func() {
 			reply := wire.GrantReply{Number: r.Number, Group: r.Group, Refused: string(GrantNotKeeper)}
 			if k := keeper.keepers[r.Group]; k != nil {
-				reply, _ = k.Grant(keeper.clock(), keeper.right(r.Group), n.id, &r)
+				reply, _ = k.Grant(keeper.clock(), keeper.claims.Right(r.Group), n.id, &r)
+				n.s.granted(keeper, n, sent, reply)
 			}
 			n.s.deliver(n, func() {
 				for _, w := range n.holder.Apply(n.clock(), &reply) {
