Let only a ticket's table say that a forwarded request has not run

Cause: a home whose table of attempts was full refused a forwarded request with executed no, though an earlier try with its ticket may have run; a home that ended during its hand-over left requests in progress at the successor; a daemon that started while the platform was down had no address to ask. Change: such refusals say unknown; the successor ends those requests as unknown; [daemon] join lists peers to ask.

--- a/internal/process/daemon/config.go
+++ b/internal/process/daemon/config.go
@@ -18,6 +18,8 @@
 	Server netip.AddrPort
 	Peer   netip.AddrPort
 	Admin  netip.AddrPort
+	// Join lists peer ports of other daemons to ask for the members.
+	Join []netip.AddrPort
 	// PollWait is the longest wait of a read of the log.
 	PollWait time.Duration
 	// Retention is how long the platform keeps records.
@@ -46,6 +48,7 @@
 		Server:      s.Listen.Server,
 		Peer:        s.Listen.Peer,
 		Admin:       s.Listen.Admin,
+		Join:        s.Join,
 		PollWait:    s.Platform.PollWait,
 		Retention:   s.Platform.Retention,
 		Heartbeat:   s.Backend.HeartbeatInterval,
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -223,6 +223,7 @@
 		Conn:  conn,
 		Clock: transport.SystemClock{},
 		Rand:  newRand(),
+		Seeds: d.cfg.Join,
 		Self: membership.Record{
 			Name:        d.cfg.Name,
 			Incarnation: d.self.Incarnation,
@@ -353,12 +354,14 @@
 		logging.Event("daemon", "member-down", "member", a.Member.Name, "incarnation", a.Member.Incarnation, "reason", string(a.Reason))
 		gone := execution.Peer{Member: a.Member.Name, Incarnation: a.Member.Incarnation}
 		d.dispatcher.onMemberGone(gone)
+		d.tickets.holderGone(ticket.Owner{Home: gone.Member, Incarnation: gone.Incarnation})
 		if a.Reason == membership.ReasonReplaced {
 			d.executor.askerGone(gone)
 			d.groups.died(ratelimit.DaemonID{Member: a.Member.Name, Incarnation: a.Member.Incarnation})
 		}
 	case membership.MemberLeft:
 		logging.Event("daemon", "member-left", "member", a.Member.Name, "incarnation", a.Member.Incarnation)
+		d.tickets.holderGone(ticket.Owner{Home: a.Member.Name, Incarnation: a.Member.Incarnation})
 	case membership.MemberChanged:
 		logging.DebugEvent("daemon", "member-changed", "member", a.Member.Name, "reason", string(a.Reason))
 	case membership.Superseded:
--- a/internal/process/daemon/executor.go
+++ b/internal/process/daemon/executor.go
@@ -125,7 +125,11 @@
 	case offered.Answer != nil:
 		e.deliver(asker, offered.Answer)
 	case offered.Refusal != nil:
-		e.deliver(asker, &wire.Answer{ID: m.ID, Refusal: refusalMessage(offered.Refusal), Credits: m.Context.Credits})
+		// Only the ticket's table may say that the request has not run: an
+		// earlier try with the same ticket may have.
+		refusal := *offered.Refusal
+		refusal.Executed = problem.ExecutedUnknown
+		e.deliver(asker, &wire.Answer{ID: m.ID, Refusal: refusalMessage(&refusal), Credits: m.Context.Credits})
 	}
 }
 
--- a/internal/process/daemon/tickets.go
+++ b/internal/process/daemon/tickets.go
@@ -278,7 +278,7 @@
 func (t *tickets) runForwarded(ctx context.Context, message *wire.Forward, current *tablesInForce, deadline time.Time) answered {
 	parsed, err := ticket.Parse(message.Ticket)
 	if err != nil {
-		return answered{refusal: problem.New(problem.KindTicketInvalid, err.Error())}
+		return answered{refusal: problem.Unknown(problem.KindTicketInvalid, err.Error())}
 	}
 	route, ok := current.Tables.Route(message.Route)
 	if !ok {
@@ -298,6 +298,17 @@
 	return t.run(ctx, q.call(), parsed, false)
 }
 
+// holderGone ends the requests that a home which has ended did not finish
+// before its hand-over was complete.
+func (t *tickets) holderGone(home ticket.Owner) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.home.DropImport(home)
+	if unknown := t.home.HolderGone(home); unknown > 0 {
+		logging.WarningEvent("tickets", "hand-over-incomplete", "home", home.Home, "unknown", unknown)
+	}
+}
+
 // sweep forgets what is over and returns the ended incarnations whose tickets
 // are served here. Call it about once a second.
 func (t *tickets) sweep(now time.Time) []ticket.Owner {
--- a/internal/process/settings/programs.go
+++ b/internal/process/settings/programs.go
@@ -13,6 +13,7 @@
 	Name   string
 	Zone   string
 	Region string
+	Join   []netip.AddrPort
 	Listen struct {
 		Caller, Server, Peer, Admin netip.AddrPort
 	}
@@ -78,6 +79,7 @@
 		name("daemon", "name", &d.Name, "Member name, unique and stable over restarts. Two daemons with one name displace each other."),
 		name("daemon", "zone", &d.Zone, "Availability zone. Upstreams of the own zone are preferred, and successors are sought in others."),
 		name("daemon", "region", &d.Region, "Region of the availability zone."),
+		addresses("daemon", "join", &d.Join, "Peer ports of a few other daemons, asked for members and tables when the platform is down at the start. Without it a daemon that starts in an outage finds nobody."),
 
 		address("listen", "caller", &d.Listen.Caller, "", false, "Port for callers."),
 		address("listen", "server", &d.Listen.Server, "127.0.0.1:7421", false, "Port for the host's own backend server. Keep it local: calls on this port are trusted as far as their request token goes."),
