Measure daemons under the design's calls and the read at a daemon's start

Cause: the processor time of carrying calls and the time to read the members stream at the start were not known.

Change: "daemons" also sends 209 calls/s to each daemon; "log" reads 11,000 announcements, 100 minutes of 1,100 members, as a daemon does at its start.

--- a/internal/process/slopes/daemons.go
+++ b/internal/process/slopes/daemons.go
@@ -4,7 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/procfs"
@@ -60,7 +64,8 @@
 	return u, nil
 }
 
-// daemonsSlopes runs idle daemons with their backend servers as processes.
+// daemonsSlopes runs daemons with their backend servers as processes, first idle
+// and then with the design's calls per daemon.
 func daemonsSlopes(ctx context.Context, r *report) error {
 	dir, err := os.MkdirTemp("", "tarragonshore-slopes-")
 	if err != nil {
@@ -102,14 +107,39 @@
 		return err
 	}
 	time.Sleep(bedSettleTime)
-	before := make([]usage, count)
-	for i, node := range bed.Nodes {
-		if before[i], err = usageOf(node.Daemon.PID()); err != nil {
-			return err
+	size := fmt.Sprintf("%d idle daemons", count)
+	if _, err := observeDaemons(r, bed, size, func() int { time.Sleep(bedObserveTime); return 0 }); err != nil {
+		return err
+	}
+	size = fmt.Sprintf("%d daemons, %d calls/s each", count, mostTakes)
+	answered, err := observeDaemons(r, bed, size, func() int { return callAll(ctx, bed) })
+	if sent := count * mostTakes * int(bedObserveTime/time.Second); err == nil {
+		r.add(size, "calls answered with 200", float64(answered)/float64(sent)*100, "%")
+	}
+	return err
+}
+
+// observeDaemons reports what the daemons use while load runs, and what it returned.
+func observeDaemons(r *report, bed *testbed.Bed, size string, load func() int) (int, error) {
+	count := len(bed.Nodes)
+	before, after := make([]usage, count), make([]usage, count)
+	read := func(into []usage) (err error) {
+		for i, node := range bed.Nodes {
+			if into[i], err = usageOf(node.Daemon.PID()); err != nil {
+				return err
+			}
 		}
+		return nil
+	}
+	if err := read(before); err != nil {
+		return 0, err
+	}
+	begun := time.Now()
+	result := load()
+	seconds := time.Since(begun).Seconds()
+	if err := read(after); err != nil {
+		return 0, err
 	}
-	time.Sleep(bedObserveTime)
-	size, seconds := fmt.Sprintf("%d idle daemons", count), bedObserveTime.Seconds()
 	figures := []struct {
 		name, unit string
 		value      func(before, after usage) float64
@@ -120,12 +150,6 @@
 		{"resident memory", "MB", func(_, a usage) float64 { return float64(a.resident) / 1e6 }},
 		{"private memory", "MB", func(_, a usage) float64 { return float64(a.private) / 1e6 }},
 	}
-	after := make([]usage, count)
-	for i, node := range bed.Nodes {
-		if after[i], err = usageOf(node.Daemon.PID()); err != nil {
-			return err
-		}
-	}
 	for _, f := range figures {
 		least, most, sum := f.value(before[0], after[0]), 0.0, 0.0
 		for i := range after {
@@ -136,5 +160,39 @@
 		r.add(size, f.name+" least", least, f.unit)
 		r.add(size, f.name+" greatest", most, f.unit)
 	}
-	return nil
+	return result, nil
+}
+
+// callAll sends each daemon callers' requests at a steady rate, as callers of 20
+// workspaces, and returns the number of answers with status 200.
+func callAll(ctx context.Context, bed *testbed.Bed) int {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	var answered atomic.Int64
+	var group sync.WaitGroup
+	ticker := time.NewTicker(time.Second / mostTakes)
+	defer ticker.Stop()
+	for i := range mostTakes * int(bedObserveTime/time.Second) {
+		<-ticker.C
+		for _, node := range bed.Nodes {
+			group.Go(func() {
+				request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Caller+"/service-000/0", nil)
+				if err != nil {
+					return
+				}
+				request.Header.Set("Authorization", "Bearer "+fmt.Sprint(i%20))
+				response, err := client.Do(request)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					answered.Add(1)
+				}
+			})
+		}
+	}
+	group.Wait()
+	return int(answered.Load())
 }
--- a/internal/process/slopes/log.go
+++ b/internal/process/slopes/log.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonshore.example/tarragonshore/internal/process/membership"
+	"tarragonshore.example/tarragonshore/internal/process/membership/transport"
 	"tarragonshore.example/tarragonshore/internal/process/platform"
 	"tarragonshore.example/tarragonshore/internal/process/standin"
 )
@@ -28,6 +30,7 @@
 const (
 	logRounds   = 5
 	logPollWait = time.Second
+	seedRecords = 11_000 // 100 minutes of announcements of 1,100 members
 )
 
 // logSlopes reports how long the platform's stand-in takes to hand a record to
@@ -39,7 +42,7 @@
 	}
 	var bytes atomic.Int64
 	server := &http.Server{
-		Handler:           standin.NewPlatform(standin.PlatformConfig{AppendsPerSecond: 1000, Retention: time.Hour}),
+		Handler:           standin.NewPlatform(standin.PlatformConfig{AppendsPerSecond: 1e9, Retention: time.Hour}),
 		ReadHeaderTimeout: time.Second,
 	}
 	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
@@ -67,7 +70,31 @@
 		r.add(fmt.Sprintf("%d readers", readers), "append to last reader least", slices.Min(took), "ms")
 		r.add(fmt.Sprintf("%d readers", readers), "append to last reader greatest", slices.Max(took), "ms")
 	}
-	return nil
+	return seedSlopes(ctx, r, log)
+}
+
+// seedSlopes reports what a daemon reads of the members stream when it starts.
+func seedSlopes(ctx context.Context, r *report, log platform.Log) error {
+	for count := range seedRecords {
+		record := memberRecord(count%designServers, time.Now())
+		data := membership.EncodeAnnouncement([16]byte{}, record, time.Now())
+		if _, err := log.Append(ctx, platform.StreamMembers, data); err != nil {
+			return err
+		}
+		if count == 0 {
+			r.add("1 member", "announcement record", float64(len(data)), "B")
+		}
+	}
+	size := fmt.Sprintf("%d announcements", seedRecords)
+	var seed transport.Seed
+	var err error
+	r.operation(size, "seed of a start", func() {
+		seed, err = transport.ReadSeed(ctx, log, transport.SystemClock{}, "host-none")
+	})
+	if err == nil && len(seed.Records) != designServers {
+		err = fmt.Errorf("the seed has %d members of %d", len(seed.Records), designServers)
+	}
+	return err
 }
 
 // readAll lets the readers wait at the end of the stream, appends the record,
--- a/internal/process/slopes/tables.go
+++ b/internal/process/slopes/tables.go
@@ -28,7 +28,7 @@
 		fmt.Fprintf(&p, "[pool service-%03d]\n", i)
 	}
 	for i := range routes {
-		fmt.Fprintf(&r, "[route route-%04d]\npath = /service-%03d/%d\npool = service-%03d\ntimeout = 1s\n", i, i%designServices, i/designServices, i%designServices)
+		fmt.Fprintf(&r, "[route route-%04d]\npath = /service-%03d/%d\npool = service-%03d\ntimeout = 1s\nidempotent = true\n", i, i%designServices, i/designServices, i%designServices)
 	}
 	for i := range workspaces {
 		fmt.Fprintf(&p, "[workspace workspace-%04d]\nrate = 100\nburst = 100\n", i)
