Halve the pings of idle links, and read only the latest announcements at a start

Cause: both sides of a link sent a ping each second; a start read the whole members stream, 1.1 million records at the design size, and kept the oldest part when its time ended. Change: a side sends a ping only if it has received nothing for its interval, and the side that accepted the link waits a quarter longer; a start reads the latest 4,096 records. The start was not measured again.

--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -19,6 +20,10 @@
 
 	out *sendQueue // for the write loop
 
+	dialed   bool
+	opened   time.Time
+	received atomic.Int64 // when the last message arrived, in ns since opened
+
 	closeOnce sync.Once
 	done      chan struct{}
 	reason    string // set before done is closed
@@ -153,6 +158,7 @@
 			return err.Error()
 		}
 		silence.Reset(l.hub.cfg.Silence)
+		l.received.Store(int64(time.Since(l.opened)))
 		switch ping := m.(type) {
 		case *wire.Ping:
 			if err := l.Send(wire.Pong{Number: ping.Number}); err != nil {
@@ -165,18 +171,31 @@
 	}
 }
 
-// pingLoop sends pings until the link is closed.
+// pingLoop sends a ping when nothing has been received for an interval, until
+// the link is closed. The side that accepted the link waits a quarter longer, so
+// that on an idle link the pings of the other side serve both.
 func (l *link) pingLoop() {
-	ticker := time.NewTicker(l.hub.cfg.PingInterval)
-	defer ticker.Stop()
-	for number := uint64(1); ; number++ {
+	interval := l.hub.cfg.PingInterval
+	if !l.dialed {
+		interval += interval / 4
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for number := uint64(1); ; {
 		select {
 		case <-l.done:
 			return
-		case <-ticker.C:
-			if l.Send(wire.Ping{Number: number}) != nil {
-				return
-			}
+		case <-timer.C:
+		}
+		quiet := time.Since(l.opened) - time.Duration(l.received.Load())
+		if quiet < interval {
+			timer.Reset(interval - quiet)
+			continue
+		}
+		if l.Send(wire.Ping{Number: number}) != nil {
+			return
 		}
+		number++
+		timer.Reset(interval)
 	}
 }
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -324,7 +324,7 @@
 	conn.SetReadLimit(wire.MaxFrameBytes)
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.DialTimeout)
 	defer cancel()
-	l := &link{hub: h, conn: conn, out: newSendQueue(), done: make(chan struct{})}
+	l := &link{hub: h, conn: conn, dialed: want != "", opened: time.Now(), out: newSendQueue(), done: make(chan struct{})}
 	var err error
 	if l.peer, err = l.greet(ctx); err != nil {
 		return nil, err
--- a/internal/process/membership/transport/announce.go
+++ b/internal/process/membership/transport/announce.go
@@ -43,11 +43,26 @@
 	Invalid int
 }
 
-// ReadSeed reads the members stream to its present end. With an error, the seed
-// holds what was read until then.
+// seedRecords is how far back from the stream's end a daemon reads at its start.
+// It covers two announcements of 1,100 members and the restarts of a bad day; a
+// whole stream with a week of retention has a million records.
+const seedRecords = 4096
+
+// ReadSeed reads the latest seedRecords of the members stream. With an error,
+// the seed holds what was read until then.
 func ReadSeed(ctx context.Context, log platform.Log, clock Clock, name string) (Seed, error) {
 	var seed Seed
 	newest := map[string]int{}
+	// The limit of a read bounds only the records; First and Next are those of
+	// the whole stream.
+	probe, err := log.Read(ctx, platform.StreamMembers, 0, 1, 0)
+	if err != nil {
+		return seed, err
+	}
+	seed.Next = probe.First
+	if probe.Next > probe.First+seedRecords {
+		seed.Next = probe.Next - seedRecords
+	}
 	for {
 		batch, err := read(ctx, log, seed.Next, 0)
 		if err != nil {
