Say what an unreachable platform means in its errors

A refused connection was reported as 'status 0: ... the platform rejected the request', and a read without an answer as one whose outcome is to be learned. Print 'no answer' in place of status 0, say that the platform did not take the request and what to check, and limit the advice to read back to appends.

Checked: tests of platform and operator; tarragonctl show against a closed port.

--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -43,7 +43,11 @@
 
 // Error names the request, the cause and, through the wrapped error, the remedy.
 func (e *HTTPError) Error() string {
-	return fmt.Sprintf("%s on stream %q: status %d: %s: %v", e.Op, e.Stream, e.Status, e.Detail, e.Err)
+	status := "no answer"
+	if e.Status != 0 {
+		status = fmt.Sprintf("status %d", e.Status)
+	}
+	return fmt.Sprintf("%s on stream %q: %s: %s: %v", e.Op, e.Stream, status, e.Detail, e.Err)
 }
 
 // Unwrap returns ErrRejected, ErrUnknown or ErrTooLarge.
--- a/internal/process/platform/platform.go
+++ b/internal/process/platform/platform.go
@@ -40,9 +40,9 @@
 // Errors of a Log. Others may occur in wrapped form; they count as ErrUnknown.
 var (
 	// ErrRejected means that the log did not take the record and never will.
-	ErrRejected = errors.New("the platform rejected the request; retry later")
+	ErrRejected = errors.New("the platform did not take the request; check its address and state, then retry")
 	// ErrUnknown means that an append may have taken effect; read back to find out.
-	ErrUnknown = errors.New("the platform's answer was lost; read the stream back to learn the outcome")
+	ErrUnknown = errors.New("the platform's answer is missing; after an append, read the stream back to learn the outcome")
 	// ErrTooLarge means that the record exceeds MaxRecordBytes.
 	ErrTooLarge = errors.New("the record is too large for the platform; split the edit")
 )
