Describe what limits.max_body bounds

The reference said that it bounds request bodies too. The code uses it only for answers of the backend server; request bodies are bounded by the route's max_body.

--- a/internal/process/settings/programs.go
+++ b/internal/process/settings/programs.go
@@ -93,7 +93,7 @@
 
 		integer("rates", "groups", &d.Rates.Groups, "8", 1, 1024, "Rate groups; the same on all daemons. More: the work of keepers is spread wider; fewer: fewer claims on the log."),
 
-		size("limits", "max_body", &d.Limits.MaxBody, "4MiB", tables.MaxBodyBytes, "Largest request or answer body; routes can lower it for requests. Larger: more memory for each request in flight."),
+		size("limits", "max_body", &d.Limits.MaxBody, "4MiB", tables.MaxBodyBytes, "Largest answer body of the backend server; request bodies are bounded by max_body of their route. Larger: more memory for each request in flight."),
 		integer("limits", "max_inflight", &d.Limits.MaxInFlight, "4096", 1, 1_000_000, "Requests of callers that are in this daemon at a time. Larger: more memory; smaller: refusals under short bursts."),
 		integer("limits", "workers", &d.Limits.Workers, "16", 1, 1024, "Workers that handle messages of peers. More: a slow handler delays others less; fewer: less contention and memory."),
 
