Name the events of the members stream by what failed

announcement-failed was also logged for reads, and members-seed-incomplete used a word of the code. They are now members-stream-failed and members-read-incomplete. Descriptions of two metrics name what they count; the comment on attempts listed decisions that are never recorded.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -142,7 +142,7 @@
 func (d *Daemon) compose(ctx context.Context) error {
 	seed, err := d.readSeed(ctx)
 	if err != nil {
-		logging.Event("daemon", "members-seed-incomplete", "error", err.Error())
+		logging.Event("daemon", "members-read-incomplete", "error", err.Error())
 	}
 	d.seed = seed
 	incarnation := transport.ChooseIncarnation(time.Now(), seed.Highest)
@@ -154,7 +154,7 @@
 	d.members = &members{self: d.cfg.Name, service: service}
 	d.announcer = &transport.Announcer{
 		Log: d.log, Clock: transport.SystemClock{}, Service: service, Rand: newRand(),
-		OnError: func(err error) { logging.Event("daemon", "announcement-failed", "error", err.Error()) },
+		OnError: func(err error) { logging.Event("daemon", "members-stream-failed", "error", err.Error()) },
 	}
 	d.configuration = newConfiguration(d.log, d.members, d.cfg.PollWait, d.cfg.Retention, newRand())
 	d.server = newServerState(d.cfg.Heartbeat)
@@ -232,7 +232,7 @@
 	return errors.Join(
 		d.metrics.Gauge("tarragon_tables_version", "Version of the tables in force.",
 			func() float64 { return float64(d.configuration.current().Version) }),
-		d.metrics.Gauge("tarragon_members_alive", "Members that this daemon holds for alive.",
+		d.metrics.Gauge("tarragon_members_alive", "Members that this daemon considers alive, including itself.",
 			func() float64 { return float64(d.members.service.View().Alive) }),
 		d.metrics.Gauge("tarragon_queue_length", "Attempts that wait for the backend server.",
 			func() float64 { return float64(d.executor.queueStatus(time.Now()).Queued) }),
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	if m.attempts, err = m.meter.Int64Counter("tarragon_attempts",
-		metric.WithDescription("Attempts at upstreams, by pool and decision.")); err != nil {
+		metric.WithDescription("Ended attempts at upstreams, by pool and by what followed: deliver, retry, move or refuse.")); err != nil {
 		return err
 	}
 	if m.queued, err = m.meter.Float64Histogram("tarragon_queue_delay", metric.WithUnit("s"),
@@ -92,7 +92,7 @@
 	m.duration.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
 }
 
-// Attempt records a decision about an attempt: send, retry, move or refuse.
+// Attempt records what follows an attempt that ended: deliver, retry, move or refuse.
 func (m *Metrics) Attempt(pool, decision string) {
 	if m == nil {
 		return
