Say more in the help texts of the programs

The help did not tell the exit codes of tarragond, how to get the two files of the tables, that a drain stays and takes any name, or that variables override the settings file. A daemon that started without the platform is missing on the log for up to 30 s; the error that no daemons are named now says so.

Checked: tests of operator; the help was printed and read.

--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -50,7 +50,8 @@
 		Short: "Overload control beside a backend server",
 		Long: "tarragond receives callers' requests, decides whether and where they run, hands work to the\n" +
 			"backend server of its host and carries the calls that this server makes to other services.\n" +
-			"SIGTERM and SIGINT begin a graceful stop; a second one ends the process at once.",
+			"SIGTERM and SIGINT begin a graceful stop; a second one ends the process at once.\n" +
+			"Exit codes: 0 stopped as planned, 1 failed or ended by a second signal, 2 wrong command line or settings.",
 		Example:       "  tarragond --config /etc/tarragonshore/tarragond.ini\n  tarragond --config tarragond.ini --check-config\n  TARRAGON_LOG_LEVEL=debug tarragond --config tarragond.ini",
 		Args:          cobra.NoArgs,
 		SilenceErrors: true,
@@ -72,7 +73,7 @@
 			return nil
 		},
 	}
-	command.Flags().StringVar(&config, "config", "", "settings file (INI)")
+	command.Flags().StringVar(&config, "config", "", "INI file with the settings; TARRAGON_SECTION_KEY overrides it")
 	command.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings and exit")
 	command.Flags().BoolVar(&reference, "settings-reference", false, "print the settings as a Markdown table and exit")
 	return command
--- a/internal/process/operator/commands.go
+++ b/internal/process/operator/commands.go
@@ -25,7 +25,8 @@
 		Use:   "tarragonctl",
 		Short: "Validate, publish and inspect the routes and pools tables",
 		Long: "tarragonctl validates, publishes and inspects the routes and pools tables.\n\n" +
-			"Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown.",
+			"Exit codes: 0 done; 1 refused, the change has no effect; 2 wrong command line or settings;\n" +
+			"3 the outcome is not known, or the change is accepted but was not seen in force everywhere.",
 		Example:       "  tarragonctl validate --routes routes.ini --pools pools.ini\n  tarragonctl publish --routes routes.ini --pools pools.ini --wait\n  tarragonctl --config tarragonctl.ini --check-config",
 		SilenceErrors: true,
 		SilenceUsage:  true,
@@ -171,7 +172,7 @@
 	f.flags(cmd, true)
 	a.editFlags(cmd)
 	cmd.Flags().Uint64Var(&base, "base", 0, "version that the files are based on")
-	cmd.Flags().BoolVar(&wait, "wait", false, "report when each daemon has the version in force")
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait until all daemons have the version in force, and report each")
 	cmd.Flags().DurationVar(&limit, "wait-timeout", 15*time.Second, "longest time for --wait")
 	a.daemonFlag(cmd)
 	return cmd
@@ -221,8 +222,10 @@
 
 func (a *app) showCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:     "show [VERSION]",
-		Short:   "Print both tables, as of a version or the current ones",
+		Use:   "show [VERSION]",
+		Short: "Print both tables, as of a version or the current ones",
+		Long: "Print both tables, as of a version or the current ones. With --output json, the texts of the\n" +
+			"two files are in the fields 'routes' and 'pools'.",
 		Example: "  tarragonctl show\n  tarragonctl show 41 --output json",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -369,7 +372,7 @@
 func parseDigest(text string) (tables.KeyDigest, error) {
 	digest, ok := tables.ParseKeyDigest(text)
 	if !ok {
-		return digest, usage("that is not a digest", nil, "give the SHA-256 of the key as 64 hexadecimal digits")
+		return digest, usage("the digest is not valid", nil, "give the SHA-256 of the key as 64 hexadecimal digits")
 	}
 	return digest, nil
 }
@@ -427,8 +430,11 @@
 func (a *app) drainCommand() *cobra.Command {
 	var undo bool
 	cmd := &cobra.Command{
-		Use:     "drain NAME",
-		Short:   "Take a backend server out of use for new work",
+		Use:   "drain NAME",
+		Short: "Take a backend server out of use for new work",
+		Long: "Take a backend server out of use for new work, or into use again with --undo. Running work is\n" +
+			"finished. The drain is a row of the pools table and stays until it is undone. The name is the\n" +
+			"one that the server announces; it is not checked whether such a server exists.",
 		Example: "  tarragonctl drain shop-7 --note 'disk errors'\n  tarragonctl drain shop-7 --undo",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/process/operator/daemons.go
+++ b/internal/process/operator/daemons.go
@@ -98,7 +98,7 @@
 	}
 	slices.Sort(ports)
 	if len(ports) == 0 {
-		return nil, refused("the log names no daemons", nil, "give --daemon IP:port")
+		return nil, refused("the log names no daemons", nil, "give --daemon IP:port, or wait: a daemon that started without the platform announces itself up to 30 s after it is back")
 	}
 	return ports, nil
 }
--- a/internal/process/standin/command.go
+++ b/internal/process/standin/command.go
@@ -59,8 +59,8 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(
-		subcommand("platform", "Runs an append-only log with settable faults", runPlatform),
-		subcommand("backend", "Runs a backend server that announces itself to its daemon", runBackend),
+		subcommand("platform", "Run an append-only log with settable faults", runPlatform),
+		subcommand("backend", "Run a backend server that announces itself to its daemon", runBackend),
 	)
 	return root
 }
@@ -75,7 +75,7 @@
 		Args:    cobra.NoArgs,
 		RunE:    func(command *cobra.Command, _ []string) error { return run(command.Context(), config, checkOnly) },
 	}
-	command.Flags().StringVar(&config, "config", "", "settings file (INI)")
+	command.Flags().StringVar(&config, "config", "", "INI file with the settings; TARRAGON_SECTION_KEY overrides it")
 	command.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings and exit")
 	return command
 }
