--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -27,10 +27,6 @@
 	// requests do not compute it each.
 	freshnessCache = 50 * time.Millisecond
 	repostInterval = time.Second
-	// startWait is how long a request waits for the tables of a daemon that has
-	// just started. Reading them takes two round trips to the platform.
-	startWait = 5 * time.Second
-	startPoll = 20 * time.Millisecond
 )
 
 // tablesInForce is one version of the tables. It is immutable.
@@ -54,8 +50,6 @@
 	// onChange is called, without the lock, with each new version.
 	onChange func(*tablesInForce)
 
-	started atomic.Bool // waitForTables need not wait any more
-
 	inForce   atomic.Pointer[tablesInForce]
 	freshTill atomic.Int64 // UnixNano until which the own read is recent enough
 
@@ -219,23 +213,6 @@
 	return problem.New(problem.KindTablesStale, "this daemon has started and has no tables yet").WithRetryAfter(time.Second)
 }
 
-// waitForTables waits until the daemon has tables and may trust their keys, at
-// most startWait after its start. Requests that come right after a start would
-// be refused for unknown routes and keys otherwise.
-func (c *configuration) waitForTables(ctx context.Context) *problem.Problem {
-	if c.started.Load() {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, startWait)
-	defer cancel()
-	if waitFor(ctx, startPoll, c.canServe) == nil {
-		c.started.Store(true)
-	} else if !c.known() {
-		return c.noTables()
-	}
-	return nil
-}
-
 // known tells whether there are tables, or the log is known to have none.
 func (c *configuration) known() bool {
 	c.mu.Lock()
@@ -243,6 +220,7 @@
 	return c.reader.Version() > 0 || !c.readAt.IsZero()
 }
 
+// canServe tells whether requests with keys can be served.
 func (c *configuration) canServe() bool { return c.known() && c.trustKeys(time.Now()) == nil }
 
 // checkKey returns a refusal if the key that a call came with is not valid here.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -293,7 +293,7 @@
 	defer cancel()
 	expected := len(d.seed.Records) > 0
 	err := waitFor(ctx, servicePoll, func() bool {
-		if d.configuration.current().Version == 0 || expected && !d.members.synchronized() {
+		if !d.configuration.canServe() || expected && !d.members.synchronized() {
 			return false
 		}
 		d.dispatcher.updatePools(d.members.service.View(), d.configuration.current())
