Measure cuts of a zone and a region in virtual time

Change: "slopes membership" cuts off a tenth and a third of the members for a minute after all have noticed.

--- a/internal/process/slopes/membership.go
+++ b/internal/process/slopes/membership.go
@@ -33,8 +33,12 @@
 	queue []datagram
 	step  int
 	bytes int
+	parts int // if above 0, one host in so many is cut off from the others
 }
 
+// sides tells whether two hosts are on different sides of the cut.
+func (n *network) sides(a, b int) bool { return n.parts > 0 && (a%n.parts == 0) != (b%n.parts == 0) }
+
 func peerAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 }
@@ -88,23 +92,43 @@
 func (n *network) send(from int, actions []membership.Action) {
 	for _, a := range actions {
 		if send, ok := a.(membership.Send); ok {
-			b := send.To.Addr().As4()
-			n.queue = append(n.queue, datagram{from, int(b[2])<<8 | int(b[3]), send.Datagram})
 			n.bytes += len(send.Datagram) + headerBytes
+			b := send.To.Addr().As4()
+			if to := int(b[2])<<8 | int(b[3]); !n.sides(from, to) {
+				n.queue = append(n.queue, datagram{from, to, send.Datagram})
+			}
 		}
 	}
 }
 
-// complete tells whether every member holds every other for alive.
+// complete tells whether every member holds those on its side of the cut for
+// alive, and nobody else.
 func (n *network) complete() bool {
-	for _, c := range n.cores {
-		if c.View().Alive != len(n.cores) {
+	off := 0
+	if n.parts > 0 {
+		off = (len(n.cores) + n.parts - 1) / n.parts
+	}
+	for i, c := range n.cores {
+		want := len(n.cores) - off
+		if n.sides(i, 1) {
+			want = off
+		}
+		if v := c.View(); v.Alive != want || len(v.Members) != want {
 			return false
 		}
 	}
 	return true
 }
 
+// cutOff cuts one host in parts off from the others for a time.
+func (n *network) cutOff(r *report, size, what string, parts int) {
+	n.parts = parts
+	n.observe(r, size, what+" cut off", settleLimit, n.complete)
+	n.run(observedTime, nil)
+	n.parts = 0
+	n.observe(r, size, what+" returns", settleLimit, n.complete)
+}
+
 // knows tells whether every member has the present incarnation and change of one.
 func (n *network) knows(i int) bool {
 	self := n.cores[i].Self()
@@ -164,6 +188,9 @@
 			}
 			return n.complete()
 		})
+		n.run(observedTime, nil)
+		n.cutOff(r, size, "zone", 10)
+		n.cutOff(r, size, "region", 3)
 		runtime.KeepAlive(n)
 	}
 	return nil
--- a/internal/process/slopes/slopes_suite_test.go
+++ b/internal/process/slopes/slopes_suite_test.go
@@ -29,6 +29,10 @@
 		gomega.Expect(n.start(3)).To(gomega.Succeed())
 		gomega.Expect(n.knows(3)).To(gomega.BeFalse())
 		gomega.Expect(n.run(settleLimit, func() bool { return n.complete() && n.knows(3) })).To(gomega.BeNumerically("<", time.Minute))
+		n.parts = 10
+		gomega.Expect(n.complete()).To(gomega.BeFalse())
+		gomega.Expect(n.run(settleLimit, n.complete)).To(gomega.BeNumerically("<", time.Minute))
+		gomega.Expect(n.cores[0].View().Alive).To(gomega.Equal(2))
 	})
 
 	// Guards against figures of tables that lack rows.
