--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -181,6 +181,7 @@
 	}
 	d.handover = newHandover(d.members, d.tickets, d.groups)
 	d.groups.handover = d.handover
+	d.groups.expectMembers = len(d.seed.Records) > 0
 	d.pool = workers.NewPool(d.cfg.Workers)
 	d.hub = peer.NewHub(peer.Identity{Member: d.self.Member, Incarnation: d.self.Incarnation, Zone: d.cfg.Zone}, d.cfg.Link, &links{
 		pool: d.pool, metrics: d.metrics, configuration: d.configuration, dispatcher: d.dispatcher,
@@ -293,7 +294,7 @@
 	defer cancel()
 	expected := len(d.seed.Records) > 0
 	err := waitFor(ctx, servicePoll, func() bool {
-		if !d.configuration.canServe() || expected && !d.members.synchronized() {
+		if !d.configuration.canServe() || expected && !(d.members.synchronized() && d.groups.allKnown()) {
 			return false
 		}
 		d.dispatcher.updatePools(d.members.service.View(), d.configuration.current())
--- a/internal/process/daemon/groups.go
+++ b/internal/process/daemon/groups.go
@@ -24,6 +24,7 @@
 	claimAppendTimeout = 5 * time.Second
 	deathProbeTimeout  = time.Second
 	giveUpTimeout      = 5 * time.Second
+	membersTimeout     = 10 * time.Second
 )
 
 // groups is this daemon as a keeper of rate groups. Its lock guards claims,
@@ -35,6 +36,8 @@
 	handover *handover
 	count    uint32
 	pollWait time.Duration
+	// expectMembers is true if the log named other members at the start.
+	expectMembers bool
 
 	mu      sync.Mutex
 	claims  *ratelimit.Claims
@@ -74,6 +77,30 @@
 	return keeper, ok
 }
 
+// awaitMembers waits, for a limited time, until this daemon has learned who is
+// alive. Before that every keeper looks missing, and a daemon that has just
+// restarted would claim the groups of live keepers whose successor it is.
+func (g *groups) awaitMembers(ctx context.Context) {
+	if !g.expectMembers {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
+	if waitFor(ctx, servicePoll, g.members.synchronized) != nil {
+		logging.WarningEvent("rates", "claiming-without-members")
+	}
+}
+
+// allKnown tells whether a keeper of each group is known.
+func (g *groups) allKnown() bool {
+	for group := range g.count {
+		if _, ok := g.keeperOf(group); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // known returns the keepers of all groups of which a claim was read.
 func (g *groups) known() []wire.GroupKeeper {
 	g.mu.Lock()
@@ -138,6 +165,7 @@
 
 // tick lets time pass for the claims until ctx ends.
 func (g *groups) tick(ctx context.Context) {
+	g.awaitMembers(ctx)
 	var seen *membership.View
 	for pause(ctx, ratelimit.ClaimsTick) {
 		view := g.members.service.View()
--- a/internal/version/tables/check.go
+++ b/internal/version/tables/check.go
@@ -160,6 +160,8 @@
 	c.bad(ref, r.Timeout >= time.Millisecond && r.Timeout <= MaxTimeout, "timeout", r.Timeout, "use 1ms to 10m")
 	c.bad(ref, r.Credits >= 0 && r.Credits <= MaxCredits, "credits", r.Credits, wholeNumberRemedy(0, MaxCredits))
 	c.bad(ref, r.MaxBodyBytes >= 0 && r.MaxBodyBytes <= MaxBodyBytes, "max_body", r.MaxBodyBytes, wholeNumberRemedy(0, MaxBodyBytes))
+	c.bad(ref, !r.Open || r.Idempotent, "open", "true",
+		"set idempotent = true or open = false: a non-idempotent request needs a ticket, and tickets belong to workspaces")
 	c.bad(ref, !r.Open || len(r.Workspaces) == 0, "workspaces", strings.Join(r.Workspaces, ", "),
 		"remove 'workspaces' or 'open': an open route checks no key and admits everybody")
 	for i, name := range r.Workspaces {
--- a/internal/version/tables/tables_suite_test.go
+++ b/internal/version/tables/tables_suite_test.go
@@ -48,6 +48,7 @@
 [route home]
 path = /
 pool = shop
+idempotent = true
 open = true
 [key ` + digestA + `]
 workspace = alpha
@@ -133,7 +134,8 @@
 			"[pool p]\n[server s]\ndrain=1",
 			"bad-value|route a|idempotent|yes", "bad-value|route a|importance|8", "bad-value|route a|timeout|5",
 			"bad-value|route a|credits|-1", "bad-value|route a|max_body|8MiB", "bad-value|server s|drain|1"),
-		Entry("values out of bounds", "[route a]\npath=/\npool=p\ntimeout=11m\nmethods=get,PUT,PUT\nopen=true\nworkspaces=w",
+		Entry("an open route that is not idempotent", "[route a]\npath=/\npool=p\nopen=true", "[pool p]", "bad-value|route a|open|true"),
+		Entry("values out of bounds", "[route a]\npath=/\npool=p\ntimeout=11m\nmethods=get,PUT,PUT\nopen=true\nidempotent=true\nworkspaces=w",
 			"[pool p]\nretry_ratio=NaN\nwarm_up=-1s\n[workspace w]\nrate=0\nburst=1\n[workspace v]\nrate=1\nburst=0\n[workspace x]\nrate=inf\nburst=1",
 			"bad-value|route a|timeout|11m0s", "bad-value|route a|methods|PUT", "bad-value|route a|methods|get", "bad-value|route a|workspaces|w",
 			"bad-value|pool p|retry_ratio|NaN", "bad-value|pool p|warm_up|-1s",
