Order workspaces by the server time they received in the last second

Change: the account is the server time received under contention, forgotten with a time constant of 1 s. It replaces the bound, the reset and the raise to the least account of the others.

--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -20,9 +20,9 @@
 	workspaceIdle = 30 * time.Second
 	// maxLateTicks bounds the windows that are made up for after a pause.
 	maxLateTicks = 20
-	// debtTime bounds how long a workspace waits because it received more than
-	// the others before.
-	debtTime = 500 * time.Millisecond
+	// receivedTime is the time constant with which the server time that a
+	// workspace received is forgotten.
+	receivedTime = time.Second
 	// reportTime is the time for which a reported load applies: reports lag.
 	reportTime = 3 * time.Second
 	// minReportShare bounds what a reported load can take away: reports mislead.
@@ -101,10 +101,7 @@
 	slack := r.Deadline.Sub(now) - c.neededFor(&r)
 	w.level.arrived(&r, slack)
 	if c.queue.n == 0 && c.limiter.inFlight < c.Limit(now) {
-		e := c.newEntry(now, r, w)
-		c.start(now, e)
-		// Without contention only what is in service counts later.
-		w.received = min(max(w.received, c.queue.least()+e.charged), c.queue.least()+w.inService)
+		c.start(now, c.newEntry(now, r, w))
 		return Decision{Action: Started, Reason: ReasonSlotFree}
 	}
 	if c.expectedDelay(w, r.class()) > min(c.config.MaxWait, slack) {
@@ -162,6 +159,8 @@
 			continue
 		}
 		c.queue.remove(e)
+		e.charged = c.costOf(&e.Request)
+		e.workspace.received += e.charged
 		c.start(now, e)
 		c.batch.Start = append(c.batch.Start, e.ID)
 	}
@@ -177,8 +176,9 @@
 	c.tick(now)
 	w := e.workspace
 	w.running--
-	w.inService -= e.charged
-	w.received += service - e.charged
+	if e.charged > 0 {
+		w.received += service - e.charged
+	}
 	w.level.finished(now, e.key(), outcome == ShedBelow)
 	if outcome == Succeeded || service > c.cost {
 		// A failure after a longer time shows that requests take at least that
@@ -244,23 +244,13 @@
 // start hands a request to the backend server.
 func (c *Controller) start(now time.Time, e *entry) {
 	e.running = true
-	e.charged = c.costOf(&e.Request)
 	w := e.workspace
 	w.running++
-	w.inService += e.charged
-	w.received = min(w.received+e.charged, c.queue.least()+c.maxDebt())
 	w.level.started(e.class, now.Sub(e.queuedAt))
 	c.limiter.started(now)
 	e.load = c.limiter.inFlight
 }
 
-// maxDebt is the server time that a workspace can be ahead of the others. It
-// bounds how long a workspace that received more than its share, when others
-// did not need theirs or for more important requests, waits for them.
-func (c *Controller) maxDebt() time.Duration {
-	return debtTime * time.Duration(c.limiter.current()) / time.Duration(max(1, len(c.queue.active)))
-}
-
 // expired returns why a queued request is refused instead of started.
 func (c *Controller) expired(now time.Time, e *entry) Reason {
 	switch {
@@ -389,6 +379,7 @@
 		idle := c.limiter.full-c.fullBefore < thresholdWindow/2
 		c.fullBefore = c.limiter.full
 		for name, w := range c.workspaces {
+			w.received -= time.Duration(float64(w.received) * float64(thresholdWindow) / float64(receivedTime))
 			w.level.tick(at, w, c.config.TargetDelay, idle)
 			if w.queued+w.running == 0 && at.Sub(w.lastSeen) > workspaceIdle && w.level.effective() == maxLevel {
 				delete(c.workspaces, name)
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -68,15 +68,15 @@
 // workspace is the state of one workspace at this server.
 type workspace struct {
 	name string
-	// received is the server time that the workspace was charged, raised to
-	// that of the others when it has been idle: idling saves up nothing.
-	received  time.Duration
-	inService time.Duration // the charges of its running requests
-	queues    [classes]fifo
-	queued    int
-	running   int
-	lastSeen  time.Time
-	level     level
+	// received is the server time of its requests that were started while
+	// others waited, forgotten with the time constant receivedTime. In a
+	// steady state it orders the workspaces by the rate that they receive.
+	received time.Duration
+	queues   [classes]fifo
+	queued   int
+	running  int
+	lastSeen time.Time
+	level    level
 }
 
 // queue orders requests by class, then by the server time that their
@@ -89,17 +89,15 @@
 // limit of n and a longest service time S, it therefore starts within
 // (W/n + 1) × S, however many requests the others send.
 type queue struct {
-	n        int
-	byClass  [classes][]*workspace // workspaces with queued requests of the class
-	active   []*workspace          // workspaces with queued requests
-	received time.Duration         // least received of the active ones, never lowered
+	n       int
+	byClass [classes][]*workspace // workspaces with queued requests of the class
+	active  []*workspace          // workspaces with queued requests
 }
 
 // push adds a request at the end of its workspace's queue of its class.
 func (q *queue) push(e *entry) {
 	w := e.workspace
 	if w.queued == 0 {
-		w.received = max(w.received, q.least())
 		q.active = append(q.active, w)
 	}
 	f := &w.queues[e.class]
@@ -136,19 +134,6 @@
 	return list[:last]
 }
 
-// least returns the least received time among the active workspaces.
-func (q *queue) least() time.Duration {
-	if len(q.active) == 0 {
-		return q.received
-	}
-	least := q.active[0].received
-	for _, w := range q.active[1:] {
-		least = min(least, w.received)
-	}
-	q.received = max(q.received, least)
-	return least
-}
-
 // head returns the request that is to be started next, nil if there is none.
 func (q *queue) head() *entry {
 	for c := range q.byClass {
