Cut the shedding threshold only to a surplus over the served rate

Change: a cut moves the admitted rate to 1.35 times the served rate and no longer corrects the queueing time; the queue with its bounded wait sheds the rest. This replaces the correction factor.

--- a/internal/request/admission/threshold.go
+++ b/internal/request/admission/threshold.go
@@ -26,12 +26,13 @@
 	// slackWeight smooths the time that requests can wait. The target of the
 	// queueing time is at most half of it.
 	slackWeight = 0.05
-	// correction is the time in which a difference of the queueing time from
-	// its target is corrected.
-	correction = 400 * time.Millisecond
 	// damping is the weight of the difference between served and admitted rate,
 	// which are both counts of a few requests per window.
 	damping = 0.6
+	// surplus is the ratio of admitted to served rate that a cut leaves: a queue
+	// with a bounded wait sheds the rest. Without it the threshold also shed
+	// requests of workspaces within their share when arrivals came in bursts.
+	surplus = 1.35
 	// Bounds of the change of the admitted rate per window.
 	maxCut   = 0.5
 	maxRaise = 1.1
@@ -71,8 +72,8 @@
 // a common one would shed a workspace that uses less than its share as much as
 // the one that causes the overload.
 //
-// own follows the workspace's queue: the admitted rate moves towards the
-// served rate, corrected for the difference of the queueing time from its target.
+// own follows the workspace's queue: while the queueing time is above its
+// target, the admitted rate moves towards the served rate times surplus.
 // below follows the levels of the services that the server calls, so that
 // trees which those would shed are shed before they run here.
 type level struct {
@@ -230,7 +231,7 @@
 	}
 	factor := maxRaise
 	if admitted > 0 {
-		factor = (1 + damping*(l.served()/admitted-1)) * (1 + float64(target-delay)/float64(correction))
+		factor = 1 + damping*(surplus*l.served()/admitted-1)
 	}
 	if delay > target {
 		l.cut(admitted*(1-min(max(factor, maxCut), 1)), float64(max(minLevel, floor/2*hashes)))
