Bound the time that a returning workspace keeps others from the server

Cause: since the account of received server time is forgotten instead of capped, a workspace that sent nothing starts at zero. Change: a workspace without a queue is raised to at most 150 ms times the limit below the least account of the others. No test guards the bound yet.

--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -23,6 +23,10 @@
 	// receivedTime is the time constant with which the server time that a
 	// workspace received is forgotten.
 	receivedTime = time.Second
+	// savedTime bounds how long a workspace that sent nothing before can keep
+	// the others from the server. Without the bound it was 0.6 s for two
+	// workspaces that both send more than the server can bear.
+	savedTime = 150 * time.Millisecond
 	// reportTime is the time for which a reported load applies: reports lag.
 	reportTime = 3 * time.Second
 	// minReportShare bounds what a reported load can take away: reports mislead.
@@ -120,6 +124,10 @@
 		c.queue.remove(victim)
 		c.drop(victim)
 	}
+	if w.queued == 0 {
+		saved := savedTime * time.Duration(c.limiter.current())
+		w.received = max(w.received, c.queue.least()-saved)
+	}
 	c.queue.push(e)
 	return d
 }
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -87,7 +87,8 @@
 // most one request of each other workspace with a queue is started, plus
 // those that make up for charges that were too low. With W such workspaces, a
 // limit of n and a longest service time S, it therefore starts within
-// (W/n + 1) × S, however many requests the others send.
+// (W/n + 1) × S, however many requests the others send. Workspaces that sent
+// nothing before can add about savedTime.
 type queue struct {
 	n       int
 	byClass [classes][]*workspace // workspaces with queued requests of the class
@@ -134,6 +135,17 @@
 	return list[:last]
 }
 
+// least returns the least received time among the workspaces with a queue.
+func (q *queue) least() time.Duration {
+	least := time.Duration(0)
+	for i, w := range q.active {
+		if i == 0 || w.received < least {
+			least = w.received
+		}
+	}
+	return least
+}
+
 // head returns the request that is to be started next, nil if there is none.
 func (q *queue) head() *entry {
 	for c := range q.byClass {
