--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -68,15 +68,15 @@
 // workspace is the state of one workspace at this server.
 type workspace struct {
 	name string
-	// received is the server time that the workspace was charged, raised to
-	// that of the others when it has been idle: idling saves up nothing.
-	received  time.Duration
-	inService time.Duration // the charges of its running requests
-	queues    [classes]fifo
-	queued    int
-	running   int
-	lastSeen  time.Time
-	level     level
+	// received is the server time of its requests that were started while
+	// others waited, forgotten with the time constant receivedTime. In a
+	// steady state it orders the workspaces by the rate that they receive.
+	received time.Duration
+	queues   [classes]fifo
+	queued   int
+	running  int
+	lastSeen time.Time
+	level    level
 }
 
 // queue orders requests by class, then by the server time that their
@@ -87,19 +87,18 @@
 // most one request of each other workspace with a queue is started, plus
 // those that make up for charges that were too low. With W such workspaces, a
 // limit of n and a longest service time S, it therefore starts within
-// (W/n + 1) × S, however many requests the others send.
+// (W/n + 1) × S, however many requests the others send. Workspaces that sent
+// nothing before can add about savedTime.
 type queue struct {
-	n        int
-	byClass  [classes][]*workspace // workspaces with queued requests of the class
-	active   []*workspace          // workspaces with queued requests
-	received time.Duration         // least received of the active ones, never lowered
+	n       int
+	byClass [classes][]*workspace // workspaces with queued requests of the class
+	active  []*workspace          // workspaces with queued requests
 }
 
 // push adds a request at the end of its workspace's queue of its class.
 func (q *queue) push(e *entry) {
 	w := e.workspace
 	if w.queued == 0 {
-		w.received = max(w.received, q.least())
 		q.active = append(q.active, w)
 	}
 	f := &w.queues[e.class]
@@ -136,16 +135,14 @@
 	return list[:last]
 }
 
-// least returns the least received time among the active workspaces.
+// least returns the least received time among the workspaces with a queue.
 func (q *queue) least() time.Duration {
-	if len(q.active) == 0 {
-		return q.received
-	}
-	least := q.active[0].received
-	for _, w := range q.active[1:] {
-		least = min(least, w.received)
+	least := time.Duration(0)
+	for i, w := range q.active {
+		if i == 0 || w.received < least {
+			least = w.received
+		}
 	}
-	q.received = max(q.received, least)
 	return least
 }
 
