Wait at a start until the members of the log are verified

Cause: one verified member counted as synchronized, but the records of the others could follow in a later datagram, so that a pool looked empty for a moment: 1 of 1,883 requests of a rolling restart was refused with no-members. Change: a start waits until no member is known from the log only, or for 1 s.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	d.members = &members{self: d.cfg.Name, service: service}
+	d.members = &members{self: d.cfg.Name, started: time.Now(), service: service}
 	d.announcer = &transport.Announcer{
 		Log: d.log, Clock: transport.SystemClock{}, Service: service, Rand: newRand(),
 		OnError: func(err error) { logging.Event("daemon", "members-stream-failed", "error", err.Error()) },
--- a/internal/process/daemon/members.go
+++ b/internal/process/daemon/members.go
@@ -23,6 +23,7 @@
 // members gives the other parts what they need to know of the other daemons.
 type members struct {
 	self    string
+	started time.Time
 	service *transport.Service
 	hub     *peer.Hub
 
@@ -80,13 +81,24 @@
 	return member.Successor
 }
 
-// synchronized tells whether another member has told what it knows. The records
-// of the log are from the starts of the members, when their backend servers had
-// not announced themselves yet.
+// synchronizeTime is how long members that only the log names are waited for:
+// most of them are dead if nobody has told of them by then.
+const synchronizeTime = time.Second
+
+// synchronized tells whether the other members have told what they know. The
+// records of the log are from the starts of the members, when their backend
+// servers had not announced themselves yet, so that a pool whose members are not
+// verified yet looks empty.
 func (m *members) synchronized() bool {
-	return slices.ContainsFunc(m.service.View().Members, func(member *membership.Member) bool {
-		return member.Name != m.self && !member.Unverified && len(member.Servers) > 0
-	})
+	told, missing := false, false
+	for _, member := range m.service.View().Members {
+		if member.Name == m.self {
+			continue
+		}
+		told = told || !member.Unverified && len(member.Servers) > 0
+		missing = missing || member.Unverified
+	}
+	return told && (!missing || time.Since(m.started) > synchronizeTime)
 }
 
 // change changes the own record.
