Count the members of a peer before a start in an outage serves

A daemon that could not read the log took the tables from the one member it had heard of, held itself for synchronized, and served 90 ms before it heard of the pool's members.

Ruled out: the seed of the log (it is empty in an outage).

Change: TablesReply says how many members its sender holds for alive; a start waits, within its limit of 5 s, until it knows as many. An incomplete read of the log counts as 'others may run'.

The spec allows tables-stale, since hosts without the setting 'join' may find nobody in 5 s, as the settings reference says.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -238,12 +238,14 @@
 	Number uint64 `cbor:"1,keyasint"`
 }
 
-// TablesReply carries an encoded snapshot of the tables, and the keepers that
-// the sender knows for an asker that cannot read the log.
+// TablesReply carries an encoded snapshot of the tables, and what the sender
+// knows of keepers and members for an asker that cannot read the log.
 type TablesReply struct {
 	Number   uint64        `cbor:"1,keyasint"`
 	Snapshot []byte        `cbor:"2,keyasint,omitempty"`
 	Keepers  []GroupKeeper `cbor:"3,keyasint,omitempty"`
+	// Alive is the number of alive members other than the asker.
+	Alive int `cbor:"4,keyasint,omitempty"`
 }
 
 // GroupKeeper names the keeper of a rate group.
--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -286,7 +286,7 @@
 	c.mu.Lock()
 	snapshot, ok := c.reader.Snapshot()
 	c.mu.Unlock()
-	reply := wire.TablesReply{Number: m.Number, Keepers: keepers}
+	reply := wire.TablesReply{Number: m.Number, Keepers: keepers, Alive: c.members.aliveBut(link.Peer().Member)}
 	if ok {
 		if encoded, err := snapshot.Encode(); err == nil {
 			reply.Snapshot = encoded
@@ -297,6 +297,7 @@
 
 // onTablesReply adopts a peer's tables if they are ahead of the own ones.
 func (c *configuration) onTablesReply(m *wire.TablesReply) {
+	c.members.expected.Store(int64(m.Alive))
 	if len(m.Snapshot) == 0 {
 		return
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -55,9 +55,12 @@
 	metrics *metrics.Metrics
 	leaving atomic.Bool
 
-	members       *members
-	announcer     *transport.Announcer
-	seed          transport.Seed
+	members   *members
+	announcer *transport.Announcer
+	seed      transport.Seed
+	// expectMembers is true if others may run: the log names some, or was not
+	// read completely.
+	expectMembers bool
 	hub           *peer.Hub
 	pool          *workers.Pool
 	configuration *configuration
@@ -155,6 +158,8 @@
 		logging.Event("daemon", "members-read-incomplete", "error", err.Error())
 	}
 	d.seed = seed
+	// The log may name members that an incomplete read missed.
+	d.expectMembers = err != nil || len(seed.Records) > 0
 	incarnation := transport.ChooseIncarnation(time.Now(), seed.Highest)
 	d.self = execution.Peer{Member: d.cfg.Name, Incarnation: incarnation}
 	service, err := d.newMembership()
@@ -181,7 +186,7 @@
 	}
 	d.handover = newHandover(d.members, d.tickets, d.groups)
 	d.groups.handover = d.handover
-	d.groups.expectMembers = len(d.seed.Records) > 0
+	d.groups.expectMembers = d.expectMembers
 	d.pool = workers.NewPool(d.cfg.Workers)
 	d.hub = peer.NewHub(peer.Identity{Member: d.self.Member, Incarnation: d.self.Incarnation, Zone: d.cfg.Zone}, d.cfg.Link, &links{
 		pool: d.pool, metrics: d.metrics, configuration: d.configuration, dispatcher: d.dispatcher,
@@ -292,9 +297,8 @@
 func (d *Daemon) awaitService(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
-	expected := len(d.seed.Records) > 0
 	err := waitFor(ctx, servicePoll, func() bool {
-		if !d.configuration.canServe() || expected && !(d.members.synchronized() && d.groups.allKnown()) {
+		if !d.configuration.canServe() || d.expectMembers && !(d.members.synchronized() && d.groups.allKnown()) {
 			return false
 		}
 		d.dispatcher.updatePools(d.members.service.View(), d.configuration.current())
--- a/internal/process/daemon/groups.go
+++ b/internal/process/daemon/groups.go
@@ -36,7 +36,7 @@
 	handover *handover
 	count    uint32
 	pollWait time.Duration
-	// expectMembers is true if the log named other members at the start.
+	// expectMembers is true if other members may run; see Daemon.
 	expectMembers bool
 
 	mu      sync.Mutex
--- a/internal/process/daemon/members.go
+++ b/internal/process/daemon/members.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,10 +27,23 @@
 	started time.Time
 	service *transport.Service
 	hub     *peer.Hub
+	// expected is the number of other members that a peer named as alive.
+	expected atomic.Int64
 
 	mu sync.Mutex // serializes changes of the own record
 }
 
+// aliveBut returns the number of alive members other than the named one.
+func (m *members) aliveBut(name string) int {
+	count := 0
+	for _, member := range m.service.View().Members {
+		if member.Name != name && member.State == membership.StateAlive {
+			count++
+		}
+	}
+	return count
+}
+
 // link returns a link to a member.
 func (m *members) link(ctx context.Context, name string) (peer.Link, error) {
 	if link, ok := m.hub.Existing(name); ok {
@@ -88,8 +102,12 @@
 // synchronized tells whether the other members have told what they know. The
 // records of the log are from the starts of the members, when their backend
 // servers had not announced themselves yet, so that a pool whose members are not
-// verified yet looks empty.
+// verified yet looks empty. A daemon that could not read the log learns the
+// members one after the other, so that the count of a peer has to be reached.
 func (m *members) synchronized() bool {
+	if int64(m.aliveBut(m.self)) < m.expected.Load() {
+		return false
+	}
 	told, missing := false, false
 	for _, member := range m.service.View().Members {
 		if member.Name == m.self {
--- /dev/null
+++ b/internal/process/daemon/restart_test.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+)
+
+const restartCells = 24
+
+// Guards against a daemon that starts while the platform is down and serves when
+// it has heard of one other member, but not yet of the pool's: it refused requests
+// with no-upstream. Without the setting "join" it may have to say that it has no
+// tables, until a member probes it.
+var _ = It("a daemon that restarts while the platform is down serves its first requests", func() {
+	inFleets(controlFleet, restartCells, func(cell int, f *fleet, g *WithT) {
+		h := f.hosts[cell%2]
+		f.log.setOutage(true)
+		g.Expect(h.stop()).To(Succeed())
+		h.start()
+		var wg sync.WaitGroup
+		for range 100 {
+			time.Sleep(5 * time.Millisecond)
+			wg.Go(func() {
+				a := f.ask(h, request{path: "/shop", key: testKey, body: "first"})
+				if a.status != 200 {
+					// Nobody can claim the groups of a keeper that stopped in the outage.
+					g.Expect(a.kind).To(BeElementOf(problem.KindRateUnavailable, problem.KindTablesStale), "%s: %+v", h.name, a)
+					g.Expect(a.executed).To(Equal(problem.ExecutedNo), h.name)
+				}
+			})
+		}
+		wg.Wait()
+	})
+})
