--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -137,4 +137,11 @@
 	}
 }
 
+// kept returns the number of rate groups that this daemon keeps.
+func (g *groups) kept() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.keepers)
+}
+
 func versionText(v tables.Version) string { return strconv.FormatUint(uint64(v), 10) }
--- a/internal/process/daemon/configuration.go
+++ b/internal/process/daemon/configuration.go
@@ -129,6 +129,9 @@
 			logging.Event("tables", "snapshot-ignored", "version", e.Version, "as_of", e.AsOf, "reason", string(e.Reason))
 		case history.Malformed:
 			logging.Event("tables", "record-malformed", "offset", e.Offset, "error", e.Err.Error())
+		case history.Behind:
+			logging.WarningEvent("tables", "stream-behind", "next", e.Next, "known", e.Known,
+				"remedy", "if the platform does not catch up, its log was lost: publish the tables again on a new log")
 		case history.Gap:
 			logging.Event("tables", "tables-gap", "next", e.Next, "first", e.First)
 		}
@@ -164,6 +167,14 @@
 	return uint64(c.reader.Next()), now.Sub(c.readAt).Milliseconds()
 }
 
+// age returns the time since the log's end was read, in seconds; -1 if never.
+func (c *configuration) age(now time.Time) float64 {
+	if _, ms := c.position(now); ms >= 0 {
+		return float64(ms) / 1000
+	}
+	return -1
+}
+
 // trustKeys returns a refusal if the tables cannot be shown to be current.
 func (c *configuration) trustKeys(now time.Time) *problem.Problem {
 	if now.UnixNano() < c.freshTill.Load() {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -249,6 +249,12 @@
 	return errors.Join(
 		d.metrics.Gauge("tarragon_tables_version", "Version of the tables in force.",
 			func() float64 { return float64(d.configuration.current().Version) }),
+		d.metrics.Gauge("tarragon_tables_age", "Seconds since the log's end was read; -1 if never.",
+			func() float64 { return d.configuration.age(time.Now()) }),
+		d.metrics.Gauge("tarragon_ticket_entries", "Used tickets whose state this home keeps.",
+			func() float64 { return float64(d.tickets.entries()) }),
+		d.metrics.Gauge("tarragon_rate_groups_kept", "Rate groups of which this daemon is the keeper.",
+			func() float64 { return float64(d.groups.kept()) }),
 		d.metrics.Gauge("tarragon_members_alive", "Members that this daemon considers alive, including itself.",
 			func() float64 { return float64(d.members.service.View().Alive) }),
 		d.metrics.Gauge("tarragon_queue_length", "Attempts that wait for the backend server.",
--- a/internal/process/daemon/tickets.go
+++ b/internal/process/daemon/tickets.go
@@ -236,6 +236,13 @@
 	return g.tickets.home.NotExecuted(g.key, id, proof)
 }
 
+// entries returns the number of tickets that this home keeps the state of.
+func (t *tickets) entries() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.home.Entries()
+}
+
 // holderOf returns the member that serves the tickets of a home. A daemon that
 // has just started waits for news of the home, or of who took over its tickets.
 func (t *tickets) holderOf(ctx context.Context, home ticket.Owner) (string, bool) {
--- a/internal/process/operator/commands.go
+++ b/internal/process/operator/commands.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -17,8 +18,12 @@
 	"tarragonshore.example/tarragonshore/internal/version/tables"
 )
 
-// keyBytes is the length of a generated key, as long as its digest.
-const keyBytes = 32
+const (
+	// keyBytes is the length of a generated key, as long as its digest.
+	keyBytes = 32
+	// fileMode is that of written tables, which hold digests of keys and no keys.
+	fileMode = 0o644
+)
 
 func (a *app) root() *cobra.Command {
 	root := &cobra.Command{
@@ -221,12 +226,14 @@
 }
 
 func (a *app) showCommand() *cobra.Command {
-	return &cobra.Command{
+	var f files
+	cmd := &cobra.Command{
 		Use:   "show [VERSION]",
-		Short: "Print both tables, as of a version or the current ones",
-		Long: "Print both tables, as of a version or the current ones. With --output json, the texts of the\n" +
-			"two files are in the fields 'routes' and 'pools'.",
-		Example: "  tarragonctl show\n  tarragonctl show 41 --output json",
+		Short: "Print both tables, or write them to files",
+		Long: "Print both tables, as of a version or the current ones. With --routes and --pools, write them to\n" +
+			"these two files instead, to edit and publish with --base. With --output json, the texts of the\n" +
+			"tables are in the fields 'routes' and 'pools'.",
+		Example: "  tarragonctl show\n  tarragonctl show --routes routes.ini --pools pools.ini\n  tarragonctl show 41 --output json",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var at *tables.Version
@@ -244,11 +251,25 @@
 			if err != nil {
 				return err
 			}
-			routes, pools := t.Format()
-			text := fmt.Sprintf("# version %d, digest %s\n# routes\n%s\n# pools\n%s", version, t.Digest(), routes, pools)
-			return a.print(text, map[string]any{"version": version, "digest": t.Digest().String(), "routes": string(routes), "pools": string(pools)})
+			return a.show(t, version, f)
 		},
 	}
+	f.flags(cmd, false)
+	return cmd
+}
+
+// show prints tables, or writes them to files if f names them.
+func (a *app) show(t *tables.Tables, version tables.Version, f files) error {
+	routes, pools := t.Format()
+	if f.routes == "" {
+		text := fmt.Sprintf("# version %d, digest %s\n# routes\n%s\n# pools\n%s", version, t.Digest(), routes, pools)
+		return a.print(text, map[string]any{"version": version, "digest": t.Digest().String(), "routes": string(routes), "pools": string(pools)})
+	}
+	if err := errors.Join(os.WriteFile(f.routes, routes, fileMode), os.WriteFile(f.pools, pools, fileMode)); err != nil {
+		return usage("the tables cannot be written", err, "give paths of writable files")
+	}
+	text := fmt.Sprintf("version %d written to %s and %s; publish changes with --base %d\n", version, f.routes, f.pools, version)
+	return a.print(text, map[string]any{"version": version, "digest": t.Digest().String()})
 }
 
 func (a *app) diffCommand() *cobra.Command {
--- a/internal/process/operator/operator_suite_test.go
+++ b/internal/process/operator/operator_suite_test.go
@@ -254,6 +254,16 @@
 		ok("key withdraw " + digest)
 	})
 
+	// Guards against written files that differ from the tables in force.
+	It("writes the tables to files that publish without a change", func() {
+		ok(publishLine)
+		ok("drain shop-1")
+		Expect(ok("show --routes @new --pools @new-pools")).To(ContainSubstring("publish changes with --base 2"))
+		Expect(ok("publish --routes @new --pools @new-pools --base 2")).To(Equal("version 2 already has these tables\n"))
+		code, _, errOut := w.run("show --routes @no/such/dir --pools @new-pools")
+		Expect(code).To(Equal(ExitUsage), errOut)
+	})
+
 	It("drains and undoes it once", func() {
 		ok(publishLine)
 		Expect(ok("drain shop-1")).To(Equal("shop-1 is draining, version 2\n"))
