Share the handling of INI sections and lists of faults

settings and tables had the same loop over sections and the same two methods of their error lists; both are in strictini now. No change of behaviour; their tests pass unchanged.

--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -61,22 +61,10 @@
 type Errors []*Error
 
 // Error returns one line per fault.
-func (e Errors) Error() string {
-	lines := make([]string, len(e))
-	for i, fault := range e {
-		lines[i] = fault.Error()
-	}
-	return strings.Join(lines, "\n")
-}
+func (e Errors) Error() string { return strictini.Lines(e) }
 
 // Unwrap returns the faults for errors.As.
-func (e Errors) Unwrap() []error {
-	list := make([]error, len(e))
-	for i, fault := range e {
-		list[i] = fault
-	}
-	return list
-}
+func (e Errors) Unwrap() []error { return strictini.Unwrap(e) }
 
 // Setting declares one setting.
 type Setting struct {
@@ -183,16 +171,13 @@
 		l.fault(ReasonFile, path, "", "", err.Error(), "give the path of a readable INI file")
 		return
 	}
-	file, err := strictini.Load(text)
+	sections, err := strictini.Load(text)
 	if err != nil {
 		l.fault(ReasonSyntax, path, "", "", err.Error(), "correct the INI syntax: '[section]', then lines 'key = value'")
 		return
 	}
 	seen := map[string]bool{}
-	for i, section := range file.Sections() {
-		if i == 0 && len(section.Keys()) == 0 {
-			continue // the library's own unnamed section
-		}
+	for _, section := range sections {
 		l.section(path, section, seen)
 	}
 }
--- a/internal/version/strictini/strictini.go
+++ b/internal/version/strictini/strictini.go
@@ -3,10 +3,27 @@
 // and keys stay visible, so that the caller can report them.
 package strictini
 
-import "gopkg.in/ini.v1"
+import (
+	"strings"
 
-// Load parses INI text. Its error tells what is wrong with the syntax.
-func Load(text []byte) (*ini.File, error) {
+	"gopkg.in/ini.v1"
+)
+
+// Load returns the sections of INI text. Its error tells what is wrong with the
+// syntax.
+func Load(text []byte) ([]*ini.Section, error) {
+	file, err := load(text)
+	if err != nil {
+		return nil, err
+	}
+	sections := file.Sections()
+	if len(sections[0].Keys()) == 0 {
+		sections = sections[1:] // the library's own unnamed section
+	}
+	return sections, nil
+}
+
+func load(text []byte) (*ini.File, error) {
 	return ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation:         true,
 		SpaceBeforeInlineComment:   true,
@@ -18,3 +35,21 @@
 		PreserveEmptyShadowValues:  true,
 	}, text)
 }
+
+// Lines returns one line per fault, for the Error method of a list of faults.
+func Lines[E error](faults []E) string {
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults for errors.Is and errors.As.
+func Unwrap[E error](faults []E) []error {
+	list := make([]error, len(faults))
+	for i, fault := range faults {
+		list[i] = fault
+	}
+	return list
+}
--- a/internal/version/tables/errors.go
+++ b/internal/version/tables/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"tarragonshore.example/tarragonshore/internal/version/strictini"
 )
 
 // Table names one of the two tables in errors and command output.
@@ -78,22 +80,10 @@
 type Errors []*Error
 
 // Error returns one line per fault.
-func (e Errors) Error() string {
-	lines := make([]string, len(e))
-	for i, fault := range e {
-		lines[i] = fault.Error()
-	}
-	return strings.Join(lines, "\n")
-}
+func (e Errors) Error() string { return strictini.Lines(e) }
 
 // Unwrap returns the faults for errors.Is and errors.As.
-func (e Errors) Unwrap() []error {
-	list := make([]error, len(e))
-	for i, fault := range e {
-		list[i] = fault
-	}
-	return list
-}
+func (e Errors) Unwrap() []error { return strictini.Unwrap(e) }
 
 func (e *Errors) add(reason Reason, ref RowRef, key, value, remedy string) {
 	*e = append(*e, &Error{Reason: reason, Table: ref.Kind.Table(), Section: ref.section(), Key: key, Value: value, Remedy: remedy})
--- a/internal/version/tables/parse.go
+++ b/internal/version/tables/parse.go
@@ -67,16 +67,13 @@
 		p.syntax(table, strconv.Itoa(len(text))+" bytes", "keep the text under "+strconv.Itoa(MaxInputBytes)+" bytes")
 		return
 	}
-	file, err := strictini.Load(text)
+	sections, err := strictini.Load(text)
 	if err != nil {
 		p.syntax(table, err.Error(), "correct the INI syntax: '[section name]', then lines 'key = value'")
 		return
 	}
 	seen := map[RowRef]bool{}
-	for i, section := range file.Sections() {
-		if i == 0 && len(section.Keys()) == 0 {
-			continue // the library's own unnamed section
-		}
+	for _, section := range sections {
 		p.section(table, section, seen)
 	}
 }
