Measure the latency that daemons add to a call

Cause: the bound of 1.3 ms at the 99th percentile was not measured. compare gives medians of phases in which requests queue.

Change: tarragon-load latency starts a backend server with its daemon and a second daemon, and sends seeded open-loop calls of a keyed and rated workspace directly, through the daemon of the backend server's host and through the second daemon, all at the same time. It prints p50, p90 and p99 of each path and the differences of the percentiles, and writes JSON. A sender spins for the last 1.5 ms before a send, since timers of an idle process fire up to 1 ms late.

--- a/internal/process/load/command.go
+++ b/internal/process/load/command.go
@@ -59,7 +59,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	root.AddCommand(compareCommand(), driveCommand(), slopes.Command())
+	root.AddCommand(compareCommand(), latencyCommand(), driveCommand(), slopes.Command())
 	return root
 }
 
@@ -96,22 +96,13 @@
 	if err != nil {
 		return err
 	}
-	out, err := filepath.Abs(o.out)
+	out, bin, err := prepare(o.out, o.bin)
 	if err != nil {
 		return err
 	}
-	if err := os.MkdirAll(out, 0o755); err != nil {
-		return err
-	}
-	if o.bin == "" {
-		o.bin = filepath.Join(out, "bin")
-		if err := testbed.Build(o.bin); err != nil {
-			return err
-		}
-	}
 	var reports []*Report
 	for _, system := range o.systems {
-		report, err := Compare(ctx, s, System(system), o.seed, o.bin, out, progress)
+		report, err := Compare(ctx, s, System(system), o.seed, bin, out, progress)
 		if err != nil {
 			return err
 		}
@@ -121,6 +112,25 @@
 	return writeReports(out, s.Name, reports)
 }
 
+// prepare creates the directory for logs and reports, and builds the programs
+// if no directory of programs is given. It returns both directories.
+func prepare(out, bin string) (string, string, error) {
+	out, err := filepath.Abs(out)
+	if err != nil {
+		return "", "", err
+	}
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return "", "", err
+	}
+	if bin == "" {
+		bin = filepath.Join(out, "bin")
+		if err := testbed.Build(bin); err != nil {
+			return "", "", err
+		}
+	}
+	return out, bin, nil
+}
+
 func progress(text string) { fmt.Fprintln(os.Stderr, text) }
 
 func writeReports(out, name string, reports []*Report) error {
--- a/internal/process/load/driver.go
+++ b/internal/process/load/driver.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,8 @@
 	next     atomic.Uint64
 	entitled *entitlement
 	runID    string
+	// spin is the last part of the wait before a send that is spent spinning.
+	spin time.Duration
 }
 
 // callerConnections is the number of idle connections kept to each address.
@@ -84,9 +87,10 @@
 			phase = arrival.Phase
 			onPhase(phase)
 		}
-		if !sleepUntil(ctx, start.Add(arrival.At)) {
+		if !sleepUntil(ctx, start.Add(arrival.At-d.spin)) {
 			break
 		}
+		spinUntil(start.Add(arrival.At))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -113,6 +117,13 @@
 	}
 }
 
+// spinUntil returns at the given time, more exactly than a timer does.
+func spinUntil(at time.Time) {
+	for time.Now().Before(at) {
+		runtime.Gosched()
+	}
+}
+
 // request sends one request with the retries of its phase.
 func (d *Driver) request(ctx context.Context, arrival Arrival, intended time.Time) Outcome {
 	ctx, cancel := context.WithDeadline(ctx, intended.Add(d.scenario.Deadline))
