Show recovery against no control, own peaks, earlier versions and delays

Cause: in the scenarios the system without control recovered at once, since its callers gave up a request at the deadline without a repeat and its servers dropped requests whose caller had gone, so that its queue was empty by the end of the phase. Goodput at 3 times the demand was compared with a computed peak. Delays between zones were not made.

An answer from another zone is waited for longer by both ways; a refusal names no zone and is not delayed. Ruled out: a relay in the path of peer links, since a daemon announces the address that it listens on, and one relay per daemon cannot tell from which zone a link comes. - A phase without any goodput has a worst share of 0.

--- a/internal/process/load/command.go
+++ b/internal/process/load/command.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -29,6 +30,8 @@
 	seed     uint64
 	systems  []string
 	bin      string
+	// previous is the directory of an earlier version's programs; empty for none.
+	previous string
 	out      string
 	// checkOnly stops after the scenario was checked.
 	checkOnly bool
@@ -69,7 +72,12 @@
 		Use:   "compare",
 		Short: "Runs a scenario against several systems that it starts on this machine",
 		Example: `  tarragon-load compare --scenario scenarios/trust.ini --seed 1
-  tarragon-load compare --scenario scenarios/trust.ini --systems tarragonshore --bin ./bin --out ./out`,
+  tarragon-load compare --scenario scenarios/trust.ini --systems tarragonshore --bin ./bin --out ./out
+
+  # With the daemons of an earlier commit as one more system:
+  git worktree add ../before COMMIT
+  (cd ../before && go build -o bin/ ./cmd/...)
+  tarragon-load compare --scenario scenarios/chain4.ini --previous ../before/bin`,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			if o.checkOnly {
@@ -85,6 +93,7 @@
 	flags.BoolVar(&o.checkOnly, "check-config", false, "check the scenario and exit")
 	flags.StringSliceVar(&o.systems, "systems", []string{string(SystemNone), string(SystemStatic), string(SystemDaemons)}, "systems to compare")
 	flags.StringVar(&o.bin, "bin", "", "directory of the programs; empty builds them from this module")
+	flags.StringVar(&o.previous, "previous", "", "directory of an earlier version's programs; its tarragond runs as one more system")
 	flags.StringVar(&o.out, "out", "out", "directory for logs, reports and the plot")
 	_ = command.MarkFlagRequired("scenario")
 	return command
@@ -100,18 +109,44 @@
 	if err != nil {
 		return err
 	}
+	systems, err := o.allSystems()
+	if err != nil {
+		return err
+	}
 	var reports []*Report
-	for _, system := range o.systems {
-		report, err := Compare(ctx, s, System(system), o.seed, bin, out, progress)
+	for _, system := range systems {
+		report, err := Compare(ctx, s, system, o.seed, Programs{Bin: bin, Previous: o.previous}, out, progress)
 		if err != nil {
 			return err
 		}
 		report.WriteTable(os.Stdout)
 		reports = append(reports, report)
 	}
+	WriteSummary(os.Stdout, reports)
 	return writeReports(out, s.Name, reports)
 }
 
+// allSystems returns the systems to run: those listed, and the previous version
+// if its programs are given.
+func (o options) allSystems() ([]System, error) {
+	var systems []System
+	for _, name := range o.systems {
+		system := System(name)
+		if !slices.Contains([]System{SystemNone, SystemStatic, SystemDaemons}, system) {
+			return nil, &ScenarioError{File: "command line", Section: "compare", Key: "systems",
+				Remedy: "unknown system " + name + "; use none, static-limit or tarragonshore, and --previous for an earlier version"}
+		}
+		systems = append(systems, system)
+	}
+	if o.previous == "" {
+		return systems, nil
+	}
+	if _, err := os.Stat(filepath.Join(o.previous, testbed.DaemonProgram)); err != nil {
+		return nil, fmt.Errorf("--previous: %w; build the earlier version's programs into this directory", err)
+	}
+	return append(systems, SystemPrevious), nil
+}
+
 // prepare creates the directory for logs and reports, and builds the programs
 // if no directory of programs is given. It returns both directories.
 func prepare(out, bin string) (string, string, error) {
--- a/internal/process/load/compare.go
+++ b/internal/process/load/compare.go
@@ -25,8 +25,21 @@
 	SystemStatic System = "static-limit"
 	// SystemDaemons is tarragonshore.
 	SystemDaemons System = "tarragonshore"
+	// SystemPrevious is tarragonshore with the daemons of an earlier version.
+	// All other programs are those of this version.
+	SystemPrevious System = "previous"
 )
 
+// hasDaemons tells whether the system consists of daemons.
+func (s System) hasDaemons() bool { return s == SystemDaemons || s == SystemPrevious }
+
+// Programs holds directories of built programs.
+type Programs struct {
+	Bin string
+	// Previous holds the tarragond of SystemPrevious; empty without that system.
+	Previous string
+}
+
 // Constants of the compared systems.
 const (
 	directTries  = 3
@@ -39,12 +52,16 @@
 )
 
 // Compare runs a scenario against a system that it starts on this machine.
-func Compare(ctx context.Context, s *Scenario, system System, seed uint64, bin, dir string, progress func(string)) (*Report, error) {
+func Compare(ctx context.Context, s *Scenario, system System, seed uint64, programs Programs, dir string, progress func(string)) (*Report, error) {
 	dir = filepath.Join(dir, string(system))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
-	bed, err := testbed.New(dir, bin, bedSpec(s, system))
+	spec := bedSpec(s, system)
+	if system == SystemPrevious {
+		spec.DaemonBin = programs.Previous
+	}
+	bed, err := testbed.New(dir, programs.Bin, spec)
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +91,8 @@
 func bedSpec(s *Scenario, system System) testbed.Spec {
 	spec := testbed.Spec{
 		Zones: s.Zones, Groups: bedGroups, AppendsPerSecond: bedAppends,
-		RetentionSeconds: bedRetention, Direct: system != SystemDaemons, DirectTries: directTries,
+		RetentionSeconds: bedRetention, Direct: !system.hasDaemons(), DirectTries: directTries,
+		ZoneDelay: s.ZoneDelay, ConnectDelay: s.ConnectDelay,
 	}
 	for _, service := range s.Services {
 		queue := longQueue
@@ -84,13 +102,14 @@
 		spec.Services = append(spec.Services, testbed.Service{
 			Pool: service.Name, Upstreams: service.Upstreams, Slots: service.Slots,
 			ServiceMS: service.ServiceMS, QueueLimit: queue, Calls: service.Calls,
+			IgnoreCancel: service.IgnoreCancel,
 		})
 	}
 	return spec
 }
 
 func startBed(ctx context.Context, bed *testbed.Bed, s *Scenario, system System) error {
-	if system != SystemDaemons {
+	if !system.hasDaemons() {
 		return bed.StartBackends(ctx)
 	}
 	if err := bed.Start(ctx); err != nil {
@@ -133,15 +152,17 @@
 	pool, _, _ := strings.Cut(path, "/")
 	for _, node := range bed.Nodes {
 		switch {
-		case system == SystemDaemons:
+		case system.hasDaemons():
 			t.Addresses = append(t.Addresses, node.Caller)
+			t.Zones = append(t.Zones, node.Zone)
+			t.ConnectDelay = s.ConnectDelay
 		case node.Pool == pool:
 			t.Addresses = append(t.Addresses, node.Work)
 		}
 	}
 	for _, w := range s.Workspaces {
 		key := ""
-		if system == SystemDaemons {
+		if system.hasDaemons() {
 			key = Key(w.Name)
 		}
 		t.Keys = append(t.Keys, key)
--- a/internal/process/load/driver.go
+++ b/internal/process/load/driver.go
@@ -41,6 +41,11 @@
 	Addresses []string
 	// Keys hold the key of each workspace of the scenario; empty entries send none.
 	Keys []string
+	// Zones hold the zone of each address if it is a daemon; empty otherwise.
+	// Calls on to a backend server in another zone take the zone delay.
+	Zones []string
+	// ConnectDelay is what a new connection costs besides what the target makes.
+	ConnectDelay time.Duration
 }
 
 // Driver sends the arrivals of a scenario.
@@ -65,6 +70,7 @@
 		target:   target,
 		runID:    runID,
 		client: &http.Client{Transport: &http.Transport{
+			DialContext:         standin.DelayedDial(target.ConnectDelay),
 			MaxIdleConnsPerHost: callerConnections,
 			DisableCompression:  true,
 		}},
@@ -132,7 +138,7 @@
 	tries := 1 + d.scenario.Phases[arrival.Phase].Retries
 	for outcome.Tries < tries && ctx.Err() == nil {
 		outcome.Tries++
-		d.try(ctx, &outcome, intended)
+		d.try(ctx, &outcome)
 		if outcome.Good {
 			break
 		}
@@ -143,12 +149,18 @@
 }
 
 // try sends the request once and notes the answer in the outcome.
-func (d *Driver) try(ctx context.Context, outcome *Outcome, intended time.Time) {
+func (d *Driver) try(ctx context.Context, outcome *Outcome) {
+	if d.scenario.TryTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d.scenario.TryTimeout)
+		defer cancel()
+	}
 	outcome.Status, outcome.Kind, outcome.Executed = 0, "", ""
 	if !sleepUntil(ctx, time.Now().Add(d.scenario.CallerDelay)) {
 		return
 	}
-	request, err := d.newRequest(ctx, outcome, intended)
+	index := int(d.next.Add(1) % uint64(len(d.target.Addresses)))
+	request, err := d.newRequest(ctx, outcome, index)
 	if err != nil {
 		return
 	}
@@ -167,7 +179,7 @@
 	if entitled && refused {
 		outcome.WronglyRefused++
 	}
-	if err != nil || !sleepUntil(ctx, time.Now().Add(d.scenario.CallerDelay)) {
+	if err != nil || !sleepUntil(ctx, time.Now().Add(d.scenario.CallerDelay+d.zoneDelay(response, index))) {
 		return
 	}
 	outcome.Status = response.StatusCode
@@ -186,10 +198,20 @@
 	outcome.Good = !outcome.Crossed
 }
 
-// newRequest builds the request of a try for the next address.
-func (d *Driver) newRequest(ctx context.Context, outcome *Outcome, intended time.Time) (*http.Request, error) {
+// zoneDelay returns the time between the zones of the daemon that was asked and
+// the backend server that answered.
+func (d *Driver) zoneDelay(response *http.Response, index int) time.Duration {
+	if len(d.target.Zones) == 0 {
+		return 0
+	}
+	return standin.ZoneDelay(response, d.target.Zones[index], d.scenario.ZoneDelay)
+}
+
+// newRequest builds the request of a try for an address of the target. ctx has
+// the deadline of the try.
+func (d *Driver) newRequest(ctx context.Context, outcome *Outcome, index int) (*http.Request, error) {
 	method, path, _ := strings.Cut(d.scenario.Target, " ")
-	address := d.target.Addresses[d.next.Add(1)%uint64(len(d.target.Addresses))]
+	address := d.target.Addresses[index]
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
 		return nil, err
@@ -197,7 +219,8 @@
 	if key := d.target.Keys[outcome.Workspace]; key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
-	left := time.Until(intended.Add(d.scenario.Deadline)) - 2*d.scenario.CallerDelay
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline) - 2*d.scenario.CallerDelay
 	request.Header.Set("Request-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	request.Header.Set(standin.HeaderOrder, d.Order(outcome.Number, outcome.Tries))
 	return request, nil
--- a/internal/process/load/load_suite_test.go
+++ b/internal/process/load/load_suite_test.go
@@ -1,6 +1,11 @@
 package load
 
 import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,3 +45,84 @@
 		Expect(r.Paths[1].AddedP99MS).To(Equal(2.0))
 	})
 })
+
+var _ = ginkgo.Describe("a report", func() {
+	scenario := &Scenario{
+		Workspaces: []WorkspaceSpec{{Name: "w"}},
+		Phases: []Phase{
+			{Name: "calm", Duration: 2 * time.Second},
+			{Name: "below", Duration: 2 * time.Second, Peak: true},
+			{Name: "above", Duration: 2 * time.Second, Peak: true},
+			{Name: "surge", Duration: 2 * time.Second},
+		},
+	}
+	// outcomes holds good and failed requests, spread evenly over each phase.
+	outcomes := func(good, failed []int) []Outcome {
+		var list []Outcome
+		for phase := range scenario.Phases {
+			n := good[phase] + failed[phase]
+			for i := range n {
+				at := time.Duration(phase)*2*time.Second + 2*time.Second*time.Duration(i)/time.Duration(n)
+				list = append(list, Outcome{Arrival: Arrival{At: at, Phase: phase}, Good: i >= failed[phase]})
+			}
+		}
+		return list
+	}
+
+	ginkgo.It("compares each phase with the best of the peak phases", func() {
+		// Guards against a peak from a phase that does not search for it, such as the surge.
+		r := NewReport(scenario, "x", 1, outcomes([]int{50, 80, 100, 120}, []int{0, 0, 0, 0}))
+		Expect(r.Peak).To(Equal(50.0))
+		Expect(r.Phases[1].ShareOfPeak).To(Equal(0.8))
+		Expect(r.Phases[3].ShareOfPeak).To(Equal(1.2))
+	})
+
+	ginkgo.It("counts recovery from the begin of the phase after the trigger", func() {
+		// Guards against failures in the trigger's phase being counted as time to recover.
+		r := NewReport(scenario, "x", 1, outcomes([]int{100, 0, 90, 0}, []int{0, 100, 10, 100}))
+		Expect(recoveryText(r.Phases[1])).To(Equal(">2.0s"))
+		Expect(recoveryText(r.Phases[2])).To(Equal("0.2s"))
+	})
+})
+
+var _ = ginkgo.Describe("a phase without goodput", func() {
+	ginkgo.It("can be written as JSON", func() {
+		// Guards against an infinite share of the worst workspace, which JSON cannot hold.
+		s := &Scenario{Workspaces: []WorkspaceSpec{{Name: "w"}}, Phases: []Phase{{Duration: time.Second}}}
+		r := NewReport(s, "x", 1, []Outcome{{Entitled: 1}})
+		_, err := json.Marshal(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Phases[0].WorstShare).To(BeZero())
+	})
+})
+
+var _ = ginkgo.Describe("a caller", func() {
+	ginkgo.It("repeats a try that took too long, until the deadline", func() {
+		// Guards against a load without repeats of slow requests, which any system withstands.
+		var tries atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			tries.Add(1)
+			<-r.Context().Done()
+		}))
+		defer server.Close()
+		s := &Scenario{
+			Deadline: 500 * time.Millisecond, TryTimeout: 50 * time.Millisecond, Target: "GET /x",
+			Workspaces: []WorkspaceSpec{{Name: "w"}}, Phases: []Phase{{Retries: 2}},
+		}
+		driver := NewDriver(s, Target{Addresses: []string{server.Listener.Addr().String()}, Keys: []string{""}}, "run")
+		outcomes := driver.Run(context.Background(), []Arrival{{}}, func(int) {})
+		Expect(outcomes[0].Good).To(BeFalse())
+		Expect(outcomes[0].Tries).To(Equal(3))
+		Expect(tries.Load()).To(Equal(int32(3)))
+	})
+})
+
+var _ = ginkgo.Describe("the systems to compare", func() {
+	ginkgo.It("refuses an unknown system and a directory without a daemon", func() {
+		// Guards against a misspelt system that is run as one without control.
+		_, err := options{systems: []string{"static"}}.allSystems()
+		Expect(err).To(HaveOccurred())
+		_, err = options{previous: ginkgo.GinkgoT().TempDir()}.allSystems()
+		Expect(err).To(MatchError(ContainSubstring("--previous")))
+	})
+})
--- a/internal/process/load/report.go
+++ b/internal/process/load/report.go
@@ -45,8 +45,10 @@
 	WronglyRefused int `json:"wrongly_refused"`
 	// RecoverySeconds is the time from the begin of the phase until the
 	// success ratio is back to 95% of that of the first phase; -1 if never.
-	RecoverySeconds float64        `json:"recovery_s"`
-	Kinds           map[string]int `json:"kinds"`
+	RecoverySeconds float64 `json:"recovery_s"`
+	// ShareOfPeak is the goodput over the system's own peak; 0 without a peak.
+	ShareOfPeak float64        `json:"share_of_peak"`
+	Kinds       map[string]int `json:"kinds"`
 }
 
 // Report holds the measures of a run.
@@ -55,7 +57,9 @@
 	System   string        `json:"system"`
 	Seed     uint64        `json:"seed"`
 	Phases   []PhaseReport `json:"phases"`
-	Crossed  int           `json:"crossed_answers"`
+	// Peak is the best goodput of the phases that search for it; 0 without such phases.
+	Peak    float64 `json:"peak"`
+	Crossed int     `json:"crossed_answers"`
 	// MostRuns is the greatest number of runs of one request at one backend server.
 	MostRuns int `json:"most_runs"`
 	// FalseNotExecuted counts tries refused with executed "no" that ran at any backend server.
@@ -87,6 +91,7 @@
 		r.Phases[i].RecoverySeconds = recovery(byPhase[i], begin, phase.Duration, base)
 		begin += phase.Duration
 	}
+	r.addPeak(s)
 	r.Windows = goodputWindows(outcomes, s.Total())
 	return r
 }
@@ -163,12 +168,15 @@
 }
 
 // worstShare compares each workspace's goodput with its max-min fair share of
-// the whole goodput.
+// the whole goodput. It is 0 if there is no goodput to share.
 func worstShare(s *Scenario, demand, good []float64) (float64, string) {
 	var total float64
 	for _, g := range good {
 		total += g
 	}
+	if total == 0 {
+		return 0, ""
+	}
 	fair := MaxMin(demand, total)
 	worst, name := math.Inf(1), ""
 	for i, w := range s.Workspaces {
@@ -242,11 +250,12 @@
 // WriteTable prints the report for people.
 func (r *Report) WriteTable(w io.Writer) {
 	fmt.Fprintf(w, "scenario=%s system=%s seed=%d\n", r.Scenario, r.System, r.Seed)
-	fmt.Fprintf(w, "%-14s %8s %8s %9s %8s %8s %7s %-10s %9s %8s\n",
-		"phase", "requests", "good", "goodput/s", "p50 ms", "p99 ms", "worst", "workspace", "wrongly", "recovery")
+	fmt.Fprintf(w, "%-18s %8s %8s %9s %7s %8s %8s %7s %-10s %9s %8s\n",
+		"phase", "requests", "good", "goodput/s", "of peak", "p50 ms", "p99 ms", "worst", "workspace", "wrongly", "recovery")
 	for _, p := range r.Phases {
-		fmt.Fprintf(w, "%-14s %8d %8d %9.1f %8.1f %8.1f %7.3f %-10s %8.3f%% %7.1fs\n", p.Name, p.Requests, p.Good,
-			p.Goodput, p.P50MS, p.P99MS, p.WorstShare, p.Worst, percent(p.WronglyRefused, p.Entitled), p.RecoverySeconds)
+		fmt.Fprintf(w, "%-18s %8d %8d %9.1f %7s %8.1f %8.1f %7.3f %-10s %8.3f%% %8s\n", p.Name, p.Requests, p.Good,
+			p.Goodput, shareText(p.ShareOfPeak, r.Peak), p.P50MS, p.P99MS, p.WorstShare, p.Worst,
+			percent(p.WronglyRefused, p.Entitled), recoveryText(p))
 	}
 	for _, p := range r.Phases {
 		fmt.Fprintf(w, "outcomes %s:%s\n", p.Name, kindList(p.Kinds))
--- a/internal/process/load/scenario.go
+++ b/internal/process/load/scenario.go
@@ -22,8 +22,15 @@
 	Rate float64
 	// Deadline is the time after which an answer is worth nothing.
 	Deadline time.Duration
+	// TryTimeout is the time after which a caller gives up one try and may send
+	// the next one; 0 means at the deadline.
+	TryTimeout time.Duration
 	// CallerDelay is the one-way time between a caller and a daemon.
 	CallerDelay time.Duration
+	// ZoneDelay is the one-way time between availability zones.
+	ZoneDelay time.Duration
+	// ConnectDelay is what a new connection costs.
+	ConnectDelay time.Duration
 	// Target is "METHOD PATH" of the callers' requests.
 	Target     string
 	Zones      int
@@ -39,6 +46,9 @@
 	Slots     []int
 	ServiceMS float64
 	Calls     []string
+	// IgnoreCancel lets the backend servers work on requests whose deadline is
+	// over or whose caller is gone.
+	IgnoreCancel bool
 }
 
 // WorkspaceSpec is a section "[workspace NAME]".
@@ -66,6 +76,8 @@
 	HotFactor    float64
 	// Outage takes the platform down.
 	Outage bool
+	// Peak marks a phase whose goodput counts in the search for the system's peak.
+	Peak bool
 }
 
 // ScenarioError names the place of an error in a scenario file and the remedy.
@@ -159,12 +171,23 @@
 	return value
 }
 
+// optionalDuration returns 0 without the key.
+func (r *reader) optionalDuration(section *ini.Section, key string) time.Duration {
+	if !section.HasKey(key) {
+		return 0
+	}
+	return r.duration(section, key)
+}
+
 func (r *reader) scenario(section *ini.Section, s *Scenario) {
-	r.keys(section, "caller_delay", "deadline", "name", "rate", "target", "zones")
+	r.keys(section, "caller_delay", "connect_delay", "deadline", "name", "rate", "target", "try_timeout", "zone_delay", "zones")
 	s.Name = section.Key("name").String()
 	s.Rate = r.float(section, "rate", 0)
 	s.Deadline = r.duration(section, "deadline")
 	s.CallerDelay = r.duration(section, "caller_delay")
+	s.TryTimeout = r.optionalDuration(section, "try_timeout")
+	s.ZoneDelay = r.optionalDuration(section, "zone_delay")
+	s.ConnectDelay = r.optionalDuration(section, "connect_delay")
 	s.Target = section.Key("target").String()
 	s.Zones = int(r.float(section, "zones", 1))
 	if !strings.Contains(s.Target, " /") {
@@ -176,12 +199,14 @@
 }
 
 func (r *reader) service(section *ini.Section, name string) ServiceSpec {
-	r.keys(section, "calls", "service_ms", "slots", "upstreams")
+	r.keys(section, "calls", "ignore_cancel", "service_ms", "slots", "upstreams")
 	spec := ServiceSpec{
 		Name:      name,
 		Upstreams: int(r.float(section, "upstreams", 1)),
 		Slots:     section.Key("slots").Ints(","),
 		ServiceMS: r.float(section, "service_ms", 1),
+
+		IgnoreCancel: section.Key("ignore_cancel").MustBool(false),
 	}
 	if calls := section.Key("calls").String(); calls != "" {
 		for _, call := range strings.Split(calls, ",") {
@@ -205,7 +230,7 @@
 }
 
 func (r *reader) phase(section *ini.Section, name string) Phase {
-	r.keys(section, "demand", "duration", "hot_factor", "hot_workspace", "outage", "retries", "slow_factor", "slow_pool")
+	r.keys(section, "demand", "duration", "hot_factor", "hot_workspace", "outage", "peak", "retries", "slow_factor", "slow_pool")
 	return Phase{
 		Name:         name,
 		Duration:     r.duration(section, "duration"),
@@ -216,5 +241,6 @@
 		HotWorkspace: section.Key("hot_workspace").String(),
 		HotFactor:    r.float(section, "hot_factor", 1),
 		Outage:       section.Key("outage").MustBool(false),
+		Peak:         section.Key("peak").MustBool(false),
 	}
 }
--- a/internal/process/settings/programs.go
+++ b/internal/process/settings/programs.go
@@ -138,19 +138,24 @@
 
 // StandinBackend holds the settings of the backend server's stand-in.
 type StandinBackend struct {
-	Name        string
-	Pool        string
-	Listen      netip.AddrPort
-	Daemon      netip.AddrPort
-	Slots       int
-	Service     time.Duration
-	Constant    bool
-	QueueLimit  int
-	ColdStart   time.Duration
-	Calls       string
-	Direct      string
-	DirectTries int
-	Seed        int
+	Name       string
+	Pool       string
+	Listen     netip.AddrPort
+	Daemon     netip.AddrPort
+	Slots      int
+	Service    time.Duration
+	Constant   bool
+	QueueLimit int
+	ColdStart  time.Duration
+	Calls      string
+	// IgnoreCancel lets the server work on requests whose caller is gone.
+	IgnoreCancel bool
+	Direct       string
+	DirectTries  int
+	Zone         string
+	ZoneDelay    time.Duration
+	ConnectDelay time.Duration
+	Seed         int
 }
 
 // LoadStandinPlatform loads the settings of the platform's stand-in. The error
@@ -180,8 +185,12 @@
 		integer("backend", "queue_limit", &b.QueueLimit, "100", 0, 1_000_000, "Requests that wait for a slot; more are answered 503."),
 		duration("backend", "cold_start", &b.ColdStart, "0s", 0, time.Hour, "Time after the start in which requests take 4 times as long."),
 		text("backend", "calls", &b.Calls, "Calls to other services that each request makes, such as \"GET /stock/1\", separated by commas."),
+		boolean("backend", "ignore_cancel", &b.IgnoreCancel, "false", "Work on requests whose deadline is over or whose caller is gone."),
 		text("backend", "direct", &b.Direct, "Backend servers to call without daemons, as POOL=ADDRESS, separated by commas. For baselines."),
 		integer("backend", "direct_tries", &b.DirectTries, "1", 1, 100, "Tries of each direct call."),
+		text("backend", "zone", &b.Zone, "Availability zone that answers name."),
+		duration("backend", "zone_delay", &b.ZoneDelay, "0s", 0, time.Minute, "One-way time between zones, waited for on answers from another zone."),
+		duration("backend", "connect_delay", &b.ConnectDelay, "0s", 0, time.Minute, "Time that a new connection costs."),
 		integer("backend", "seed", &b.Seed, "1", 0, 1<<31, "Seed of the service times."),
 	}}
 	return &b, s.Load(path, environment)
--- a/internal/process/standin/backend.go
+++ b/internal/process/standin/backend.go
@@ -46,11 +46,18 @@
 	// Calls lists the paths that each request calls at other services, one after
 	// the other, e.g. "GET /donors/1". Only paths that do not start with /leaf call on.
 	Calls []string
+	// IgnoreCancel lets the server work on requests whose deadline is over or
+	// whose caller is gone.
+	IgnoreCancel bool
 	// Direct lists the addresses of each pool. If it is set, calls go straight
 	// to them in turn and are tried DirectTries times: the baseline without the system.
 	Direct      map[string][]string
 	DirectTries int
-	Seed        uint64
+	// Zone is named in answers. Calls that were answered from another zone take
+	// 2 * ZoneDelay longer.
+	Zone      string
+	ZoneDelay time.Duration
+	Seed      uint64
 }
 
 // BackendFaults are the faults of a backend server, settable at any time.
@@ -192,7 +199,7 @@
 	if err != nil {
 		return
 	}
-	ctx, cancel := workContext(r)
+	ctx, cancel := b.workContext(r)
 	defer cancel()
 	if !b.acquire(ctx) {
 		w.Header().Set("Retry-After", "1")
@@ -209,8 +216,12 @@
 	b.reply(w, r, body, status, calls)
 }
 
-// workContext ends when the caller goes or the announced time is over.
-func workContext(r *http.Request) (context.Context, context.CancelFunc) {
+// workContext ends when the caller goes or the announced time is over, unless
+// the server ignores both.
+func (b *Backend) workContext(r *http.Request) (context.Context, context.CancelFunc) {
+	if b.cfg.IgnoreCancel {
+		return context.WithCancel(context.WithoutCancel(r.Context()))
+	}
 	ms, err := strconv.ParseInt(r.Header.Get(backend.HeaderRequestTimeout), 10, 64)
 	if err != nil || ms <= 0 {
 		return context.WithCancel(r.Context())
@@ -371,6 +382,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, err = io.Copy(io.Discard, response.Body)
+	if delay := ZoneDelay(response, b.cfg.Zone, b.cfg.ZoneDelay); delay > 0 && !sleep(ctx, delay) {
+		return 0, ctx.Err()
+	}
 	return response.StatusCode, err
 }
 
@@ -393,6 +407,9 @@
 	if fail {
 		status = http.StatusInternalServerError
 	}
+	if b.cfg.Zone != "" {
+		w.Header().Set(HeaderZone, b.cfg.Zone)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	w.WriteHeader(status)
--- a/internal/process/standin/command.go
+++ b/internal/process/standin/command.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	p := NewPlatform(PlatformConfig{AppendsPerSecond: float64(s.AppendsPerSecond), Retention: s.Retention})
-	return serve(ctx, s.Listen, p, func() {})
+	return serve(ctx, s.Listen, 0, p, func() {})
 }
 
 func runBackend(ctx context.Context, config string, checkOnly bool) error {
@@ -101,25 +101,28 @@
 	if s.Direct == "" {
 		go b.announceLoop(announcing)
 	}
-	return serve(ctx, s.Listen, b, func() { b.drain(announcing) })
+	return serve(ctx, s.Listen, s.ConnectDelay, b, func() { b.drain(announcing) })
 }
 
 func backendConfig(s *settings.StandinBackend) BackendConfig {
 	return BackendConfig{
-		Name:        s.Name,
-		Pool:        s.Pool,
-		Address:     s.Listen.String(),
-		Daemon:      s.Daemon.String(),
-		Slots:       s.Slots,
-		Service:     s.Service,
-		Constant:    s.Constant,
-		ColdStart:   s.ColdStart,
-		ColdFactor:  coldFactor,
-		QueueLimit:  s.QueueLimit,
-		Calls:       splitList(s.Calls),
-		Direct:      directAddresses(s.Direct),
-		DirectTries: s.DirectTries,
-		Seed:        uint64(s.Seed),
+		Name:         s.Name,
+		Pool:         s.Pool,
+		Address:      s.Listen.String(),
+		Daemon:       s.Daemon.String(),
+		Slots:        s.Slots,
+		Service:      s.Service,
+		Constant:     s.Constant,
+		ColdStart:    s.ColdStart,
+		ColdFactor:   coldFactor,
+		QueueLimit:   s.QueueLimit,
+		Calls:        splitList(s.Calls),
+		IgnoreCancel: s.IgnoreCancel,
+		Direct:       directAddresses(s.Direct),
+		DirectTries:  s.DirectTries,
+		Zone:         s.Zone,
+		ZoneDelay:    s.ZoneDelay,
+		Seed:         uint64(s.Seed),
 	}
 }
 
@@ -149,8 +152,8 @@
 	return direct
 }
 
-// serve serves until ctx ends, then drains.
-func serve(ctx context.Context, address netip.AddrPort, handler http.Handler, drain func()) error {
+// serve serves until ctx ends, then drains. A new connection costs connectDelay.
+func serve(ctx context.Context, address netip.AddrPort, connectDelay time.Duration, handler http.Handler, drain func()) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
@@ -165,7 +168,7 @@
 		drain()
 		_ = server.Close()
 	}()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(delayedListener{listener, connectDelay}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/process/testbed/bed.go
+++ b/internal/process/testbed/bed.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"text/template"
+	"time"
 
 	"tarragonshore.example/tarragonshore/internal/process/standin"
 )
@@ -27,6 +29,8 @@
 	QueueLimit int
 	// Calls are the calls that each request makes, e.g. "GET /donors/1".
 	Calls []string
+	// IgnoreCancel lets the servers work on requests whose caller is gone.
+	IgnoreCancel bool
 	// ColdStartMS is the time after start in which requests take 4 times as long.
 	ColdStartMS int
 }
@@ -44,10 +48,15 @@
 	LogLevel string
 	// ExtraSettings is added to each daemon's settings file.
 	ExtraSettings string
+	// DaemonBin holds the tarragond to run; empty means the directory of all programs.
+	DaemonBin string
 	// Direct lets the backend servers call each other without daemons, with
 	// DirectTries tries per call.
 	Direct      bool
 	DirectTries int
+	// ZoneDelay is the one-way time between zones, and ConnectDelay what a new
+	// connection to a backend server costs.
+	ZoneDelay, ConnectDelay time.Duration
 }
 
 // Node is one host: a daemon and its backend server.
@@ -73,6 +82,7 @@
 type Bed struct {
 	Dir          string
 	Bin          string
+	DaemonBin    string
 	PlatformAddr string
 	Platform     *Process
 	Nodes        []*Node
@@ -120,11 +130,18 @@
 queue_limit = {{.Queue}}
 cold_start = {{.Cold}}ms
 calls = {{.Calls}}
+ignore_cancel = {{.IgnoreCancel}}
 seed = {{.Seed}}
 direct = {{.Direct}}
 direct_tries = {{.DirectTries}}
+zone = {{.Zone}}
+zone_delay = {{.ZoneDelay}}
+connect_delay = {{.ConnectDelay}}
 `
 
+// DaemonProgram is the file name of the daemon.
+const DaemonProgram = "tarragond"
+
 // portsPerNode counts caller, server, peer, admin and the backend server's port.
 const portsPerNode = 5
 
@@ -138,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bed := &Bed{Dir: dir, Bin: bin, PlatformAddr: address(ports[0])}
+	bed := &Bed{Dir: dir, Bin: bin, DaemonBin: cmp.Or(spec.DaemonBin, bin), PlatformAddr: address(ports[0])}
 	bed.platformConfig, err = writeConfig(dir, "platform.ini", platformTemplate, map[string]any{
 		"Listen": bed.PlatformAddr, "Appends": spec.AppendsPerSecond, "Retention": spec.RetentionSeconds,
 	})
@@ -200,8 +217,9 @@
 		"Name": name, "Pool": service.Pool, "Listen": node.Work, "Daemon": node.Server,
 		"Slots": service.Slots[index%len(service.Slots)], "Service": fmt.Sprintf("%gms", service.ServiceMS),
 		"Constant": service.Constant, "Queue": service.QueueLimit, "Cold": service.ColdStartMS,
-		"Calls": strings.Join(service.Calls, ", "), "Seed": index + 1,
+		"Calls": strings.Join(service.Calls, ", "), "IgnoreCancel": service.IgnoreCancel, "Seed": index + 1,
 		"Direct": direct, "DirectTries": max(1, spec.DirectTries),
+		"Zone": zone, "ZoneDelay": spec.ZoneDelay, "ConnectDelay": spec.ConnectDelay,
 	})
 	return node, err
 }
@@ -266,7 +284,7 @@
 // StartDaemon runs the host's daemon.
 func (n *Node) StartDaemon() error {
 	var err error
-	n.Daemon, err = StartProcess(n.bed.Dir, n.Name+"-daemon", filepath.Join(n.bed.Bin, "tarragond"),
+	n.Daemon, err = StartProcess(n.bed.Dir, n.Name+"-daemon", filepath.Join(n.bed.DaemonBin, DaemonProgram),
 		"--config", n.daemonConfig)
 	return err
 }
