Write log lines in the background

Cause: a request writes four log lines, each by a system call to standard error under the lock of klog, before its answer leaves the daemon. If the reader of standard error stalls, so do all requests. Formatting a line took more time than writing it, through fmt for each word.

Ruled out, in the profile of the daemons that the latency measurement starts: the order of acknowledgement and delivery of an answer (the waiting request is scheduled first already), locks, and frames that wait in a link's queue.

Flush waits for the output, at most 1 s. Values of the usual types are formatted without fmt.

Conclusion: a stalled log output no longer stops requests.

--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -40,14 +42,17 @@
 
 func init() { threshold.Store(int32(Info)) }
 
+// writer is the writer in force; nil before Setup.
+var writer atomic.Pointer[asyncWriter]
+
 // Setup sets the lowest level that is written, and the output; with nil the
-// output is standard error.
+// output is standard error. Lines are written in the background.
 func Setup(level Level, output io.Writer) {
 	threshold.Store(int32(level))
-	klog.LogToStderr(output == nil)
 	if output == nil {
-		return
+		output = os.Stderr
 	}
+	klog.LogToStderr(false)
 	// Without these flags klog writes an event once for each lower severity,
 	// and errors to standard error as well.
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
@@ -57,11 +62,19 @@
 			panic(err) // the flags are constants
 		}
 	}
-	klog.SetOutput(output)
+	w := &asyncWriter{out: output}
+	writer.Store(w)
+	klog.SetOutput(w)
 }
 
-// Flush writes out buffered lines. Call it before the process ends.
-func Flush() { klog.Flush() }
+// Flush writes out the lines that wait, and gives up after a second if the
+// output stalls. Call it before the process ends.
+func Flush() {
+	klog.Flush()
+	if w := writer.Load(); w != nil {
+		w.flush()
+	}
+}
 
 // Enabled reports whether events of the level are written.
 func Enabled(level Level) bool { return int32(level) >= threshold.Load() }
@@ -109,9 +122,12 @@
 // equals sign or a character that is not printable.
 func format(component, event string, pairs []any) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "component=%s event=%s", quote(component), quote(event))
+	b.WriteString("component=")
+	b.WriteString(quote(component))
+	b.WriteString(" event=")
+	b.WriteString(quote(event))
 	for i := 0; i < len(pairs); i += 2 {
-		name := fmt.Sprint(pairs[i])
+		name := text(pairs[i])
 		value := "(missing)"
 		if i+1 < len(pairs) {
 			value = text(pairs[i+1])
@@ -119,7 +135,10 @@
 		if secretNames[strings.ToLower(name)] {
 			value = redacted
 		}
-		fmt.Fprintf(&b, " %s=%s", quote(name), quote(value))
+		b.WriteByte(' ')
+		b.WriteString(quote(name))
+		b.WriteByte('=')
+		b.WriteString(quote(value))
 	}
 	return b.String()
 }
@@ -130,6 +149,10 @@
 	switch v := value.(type) {
 	case string:
 		return v
+	case int:
+		return strconv.Itoa(v)
+	case uint32:
+		return strconv.FormatUint(uint64(v), 10)
 	case error, fmt.Stringer:
 		return fmt.Sprint(v)
 	case map[string][]string, map[string]string, interface{ Values(string) []string }:
--- a/internal/process/logging/logging_suite_test.go
+++ b/internal/process/logging/logging_suite_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -40,3 +42,42 @@
 		Expect(out.String()).To(MatchRegexp(`^W.* logging_suite_test\.go:\d+\] component=c event=loud n=1\nE.* logging_suite_test\.go:\d+\] component=c event=failed error=x\n$`))
 	})
 })
+
+// stalledOutput blocks each write until it is released.
+type stalledOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (o *stalledOutput) Write(p []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.written.Write(p)
+}
+
+var _ = Describe("an output that stalls", func() {
+	// Guards against requests that wait for the reader of the daemon's log.
+	It("does not hold up events, which are bounded and counted if they are lost", func() {
+		out := &stalledOutput{release: make(chan struct{})}
+		Setup(Info, out)
+		DeferCleanup(func() { Setup(Info, nil) })
+		value := strings.Repeat("x", 1000)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i := range 3 * maxWaiting / len(value) {
+				Event("c", "line", "n", i, "value", value)
+			}
+		}()
+		Eventually(done, "5s").Should(BeClosed())
+		close(out.release)
+		Flush()
+		out.mu.Lock()
+		defer out.mu.Unlock()
+		Expect(out.written.Len()).To(BeNumerically("<", 3*maxWaiting))
+		Expect(out.written.String()).To(ContainSubstring(" n=0 "))
+		Expect(out.written.String()).To(MatchRegexp(`component=logging event=lines-lost count=\d+\n`))
+	})
+})
