Compare phases with the peak by the time of the answer

Change: served/s counts good answers by the time of the answer. The own peak and the share of it use it; goodput/s stays as it is.

--- a/internal/process/load/load_suite_test.go
+++ b/internal/process/load/load_suite_test.go
@@ -77,6 +77,19 @@
 		Expect(r.Phases[3].ShareOfPeak).To(Equal(1.2))
 	})
 
+	ginkgo.It("counts answers after a phase in the phase of the answer", func() {
+		// Guards against a peak above the capacity, from a queue that is served after the phase.
+		late := outcomes([]int{0, 0, 100, 0}, []int{0, 0, 0, 0})
+		for i := range late {
+			late[i].Latency = time.Second
+		}
+		r := NewReport(scenario, "x", 1, late)
+		Expect(r.Phases[2].Goodput).To(Equal(50.0))
+		Expect(r.Phases[2].Served).To(Equal(25.0))
+		Expect(r.Phases[3].Served).To(Equal(25.0))
+		Expect(r.Peak).To(Equal(25.0))
+	})
+
 	ginkgo.It("counts recovery from the begin of the phase after the trigger", func() {
 		// Guards against failures in the trigger's phase being counted as time to recover.
 		r := NewReport(scenario, "x", 1, outcomes([]int{100, 0, 90, 0}, []int{0, 100, 10, 100}))
--- a/internal/process/load/report.go
+++ b/internal/process/load/report.go
@@ -46,7 +46,10 @@
 	// RecoverySeconds is the time from the begin of the phase until the
 	// success ratio is back to 95% of that of the first phase; -1 if never.
 	RecoverySeconds float64 `json:"recovery_s"`
-	// ShareOfPeak is the goodput over the system's own peak; 0 without a peak.
+	// Served is good answers per second by the time of the answer. Unlike Goodput
+	// it cannot exceed what the servers bear by answers given after the phase.
+	Served float64 `json:"served"`
+	// ShareOfPeak is Served over the system's own peak; 0 without a peak.
 	ShareOfPeak float64        `json:"share_of_peak"`
 	Kinds       map[string]int `json:"kinds"`
 }
@@ -57,7 +60,7 @@
 	System   string        `json:"system"`
 	Seed     uint64        `json:"seed"`
 	Phases   []PhaseReport `json:"phases"`
-	// Peak is the best goodput of the phases that search for it; 0 without such phases.
+	// Peak is the greatest Served of the phases that search for it; 0 without such phases.
 	Peak    float64 `json:"peak"`
 	Crossed int     `json:"crossed_answers"`
 	// MostRuns is the greatest number of runs of one request at one backend server.
@@ -89,6 +92,7 @@
 	var begin time.Duration
 	for i, phase := range s.Phases {
 		r.Phases[i].RecoverySeconds = recovery(byPhase[i], begin, phase.Duration, base)
+		r.Phases[i].Served = served(outcomes, begin, phase.Duration)
 		begin += phase.Duration
 	}
 	r.addPeak(s)
@@ -237,6 +241,17 @@
 	return -1
 }
 
+// served returns the good answers per second that callers got within a phase.
+func served(outcomes []Outcome, begin, length time.Duration) float64 {
+	count := 0
+	for _, o := range outcomes {
+		if at := o.At + o.Latency; o.Good && at >= begin && at < begin+length {
+			count++
+		}
+	}
+	return float64(count) / length.Seconds()
+}
+
 func goodputWindows(outcomes []Outcome, total time.Duration) []float64 {
 	windows := make([]float64, int(total/windowLength)+1)
 	for _, o := range outcomes {
@@ -250,11 +265,11 @@
 // WriteTable prints the report for people.
 func (r *Report) WriteTable(w io.Writer) {
 	fmt.Fprintf(w, "scenario=%s system=%s seed=%d\n", r.Scenario, r.System, r.Seed)
-	fmt.Fprintf(w, "%-18s %8s %8s %9s %7s %8s %8s %7s %-10s %9s %8s\n",
-		"phase", "requests", "good", "goodput/s", "of peak", "p50 ms", "p99 ms", "worst", "workspace", "wrongly", "recovery")
+	fmt.Fprintf(w, "%-18s %8s %8s %9s %8s %7s %8s %8s %7s %-10s %9s %8s\n",
+		"phase", "requests", "good", "goodput/s", "served/s", "of peak", "p50 ms", "p99 ms", "worst", "workspace", "wrongly", "recovery")
 	for _, p := range r.Phases {
-		fmt.Fprintf(w, "%-18s %8d %8d %9.1f %7s %8.1f %8.1f %7.3f %-10s %8.3f%% %8s\n", p.Name, p.Requests, p.Good,
-			p.Goodput, shareText(p.ShareOfPeak, r.Peak), p.P50MS, p.P99MS, p.WorstShare, p.Worst,
+		fmt.Fprintf(w, "%-18s %8d %8d %9.1f %8.1f %7s %8.1f %8.1f %7.3f %-10s %8.3f%% %8s\n", p.Name, p.Requests, p.Good,
+			p.Goodput, p.Served, shareText(p.ShareOfPeak, r.Peak), p.P50MS, p.P99MS, p.WorstShare, p.Worst,
 			percent(p.WronglyRefused, p.Entitled), recoveryText(p))
 	}
 	for _, p := range r.Phases {
--- a/internal/process/load/summary.go
+++ b/internal/process/load/summary.go
@@ -5,29 +5,30 @@
 	"io"
 )
 
-// addPeak finds the best goodput of the phases that search for the peak, and
-// the share of it that each phase reaches. Without such phases both stay 0.
+// addPeak finds the greatest rate of good answers in the phases that search for
+// the peak, and the share of it that each phase reaches. Without such phases both stay 0.
 func (r *Report) addPeak(s *Scenario) {
 	for i, phase := range s.Phases {
 		if phase.Peak {
-			r.Peak = max(r.Peak, r.Phases[i].Goodput)
+			r.Peak = max(r.Peak, r.Phases[i].Served)
 		}
 	}
 	if r.Peak == 0 {
 		return
 	}
 	for i := range r.Phases {
-		r.Phases[i].ShareOfPeak = r.Phases[i].Goodput / r.Peak
+		r.Phases[i].ShareOfPeak = r.Phases[i].Served / r.Peak
 	}
 }
 
-// WriteSummary prints the systems side by side: goodput per second, its share of
-// the same system's own peak, and the time to recovery for each phase.
+// WriteSummary prints the systems side by side: good answers per second by the
+// time of the answer, their share of the same system's own peak, and the time to
+// recovery for each phase.
 func WriteSummary(w io.Writer, reports []*Report) {
 	if len(reports) == 0 {
 		return
 	}
-	fmt.Fprintf(w, "summary: goodput/s, share of the system's own peak, recovery from the begin of the phase\n%-18s", "phase")
+	fmt.Fprintf(w, "summary: served/s, share of the system's own peak, recovery from the begin of the phase\n%-18s", "phase")
 	for _, r := range reports {
 		fmt.Fprintf(w, " | %-24s", r.System)
 	}
@@ -36,7 +37,7 @@
 		fmt.Fprintf(w, "%-18s", phase.Name)
 		for _, r := range reports {
 			p := r.Phases[i]
-			fmt.Fprintf(w, " | %7.1f %7s %8s", p.Goodput, shareText(p.ShareOfPeak, r.Peak), recoveryText(p))
+			fmt.Fprintf(w, " | %7.1f %7s %8s", p.Served, shareText(p.ShareOfPeak, r.Peak), recoveryText(p))
 		}
 		fmt.Fprintln(w)
 	}
