Divide small bursts into fewer slices

Cause: the refused request of "slow workspace near its rate" found 0.53, 0.82, 0.26 and 1 token in the four slices (trace of the messages at 12.0 s). They hold 2.6 tokens together but one whole token, and two requests came at that moment. Fractions in different buckets cannot be added up.

Change: a burst below 8 has 2 slices and one below 4 a single slice. Divisions have no slice number in common. A daemon that sees the number of slices change by an edit suspends the workspace for 5 s (ratelimit.Limits), so that the former and the new slices are never spent at the same time. A holder reports a grant to the group it came from, also after the division changed, and gives back tokens of the former division that arrive late.

Tests: the spec is no longer known-red. The property test has an edit action; a table applies edits at different times. "refuses only after every slice" uses a burst of 8, the least that has the four slices that it checks.

Conclusion: the bound holds over edits, except by a daemon that starts within 5 s after such an edit and keeps a group within that time (docs/decisions/rates.md).

--- a/internal/process/daemon/rates.go
+++ b/internal/process/daemon/rates.go
@@ -32,6 +32,12 @@
 	// active holds a token if the holder may have stopped being idle.
 	active chan struct{}
 
+	// limitsMu is taken before mu and the lock of groups, so that both have the
+	// limits of the same time. It guards limits and resume.
+	limitsMu sync.Mutex
+	limits   *ratelimit.Limits
+	resume   *time.Timer // applies the limits again after a suspension, or nil
+
 	mu     sync.Mutex
 	holder *ratelimit.Holder
 	// waiting holds a channel per workspace with waiting requests. It is closed
@@ -47,6 +53,7 @@
 		members: members,
 		groups:  groups,
 		active:  make(chan struct{}, 1),
+		limits:  ratelimit.NewLimits(),
 		holder:  ratelimit.NewHolder(count, rng),
 		waiting: make(map[string]chan struct{}),
 		sentOn:  make(map[uint64]uint64),
@@ -55,11 +62,32 @@
 
 // setLimits applies the limits of a new version.
 func (r *rates) setLimits(workspaces []tables.Workspace) {
+	r.limitsMu.Lock()
+	defer r.limitsMu.Unlock()
+	r.limits.Set(time.Now(), workspaces)
+	r.applyLimits()
+}
+
+// applyLimits applies the limits in force now, and again when a suspension
+// ends. The caller holds limitsMu.
+func (r *rates) applyLimits() {
 	now := time.Now()
+	workspaces, next := r.limits.InForce(now)
 	r.mu.Lock()
 	r.holder.SetLimits(now, workspaces)
 	r.mu.Unlock()
 	r.groups.setLimits(now, workspaces)
+	if r.resume != nil {
+		r.resume.Stop()
+		r.resume = nil
+	}
+	if !next.IsZero() {
+		r.resume = time.AfterFunc(next.Sub(now), func() {
+			r.limitsMu.Lock()
+			defer r.limitsMu.Unlock()
+			r.applyLimits()
+		})
+	}
 }
 
 // take spends a token of the workspace, or returns the refusal.
--- a/internal/process/ratelimit/holder.go
+++ b/internal/process/ratelimit/holder.go
@@ -112,6 +112,7 @@
 type heldGrant struct {
 	number                uint64
 	slice                 uint8
+	group                 uint32
 	left, spent, returned uint32
 	// What the keeper has confirmed of spent and returned.
 	ackedSpent, ackedReturned uint32
@@ -129,8 +130,7 @@
 
 // heldSlice is what a holder knows about one slice.
 type heldSlice struct {
-	group  uint32
-	usable bool // its burst is not 0
+	group uint32
 
 	pending uint64 // number of the unanswered request, or 0
 	want    uint32 // tokens asked for with it
@@ -179,8 +179,9 @@
 	rate       float64 // requests/s
 	burst      float64 // requests
 	reportTime time.Duration
-	slices     [Slices]heldSlice
-	first      uint8 // slice to ask first the next time
+	division   Division
+	slices     [Slices]heldSlice // [:division.Count]
+	first      uint8             // index of the slice to ask first the next time
 
 	grants  []heldGrant // in order of their ends
 	current int         // first grant that may have tokens left
@@ -263,13 +264,17 @@
 }
 
 func (w *holding) setLimit(now time.Time, t tables.Workspace, groups uint32) {
-	limits := Divide(t)
+	division := Divide(t)
+	if division.Count != w.division.Count {
+		w.reduce(now, 0) // tokens of the former slices may not be spent any more
+		w.slices = [Slices]heldSlice{}
+	}
+	w.division = division
 	var rate, burst uint64
-	for i := range uint8(Slices) {
-		rate += limits[i].MicroRate
-		burst += limits[i].Burst
-		w.slices[i].group = Group(t.Name, i, groups)
-		w.slices[i].usable = limits[i].Burst > 0 && limits[i].MicroRate > 0
+	for i, limit := range division.Limits[:division.Count] {
+		rate += limit.MicroRate
+		burst += limit.Burst
+		w.slices[i].group = Group(t.Name, division.First+uint8(i), groups)
 	}
 	old := w.burst
 	w.rate, w.burst = float64(rate)/microPerToken, float64(burst)
@@ -403,14 +408,10 @@
 // withoutToken decides on a request that has waited since asked.
 func (w *holding) withoutToken(now, asked time.Time) Decision {
 	var d Decision
-	usable, empty, askable, pending := 0, 0, 0, 0
+	usable, empty, askable, pending := int(w.division.Count), 0, 0, 0
 	retry := maxWait
-	for i := range w.slices {
+	for i := range usable {
 		s := &w.slices[i]
-		if !s.usable {
-			continue
-		}
-		usable++
 		status := s.status(now)
 		// A request asks each slice once: what a keeper said after the request
 		// came is fresh enough for it. It needs no token if the answer to an
@@ -450,6 +451,14 @@
 	return d
 }
 
+// slice returns the slice with the number, or nil if the division has none.
+func (w *holding) slice(number uint8) *heldSlice {
+	if number < w.division.First || number-w.division.First >= w.division.Count {
+		return nil
+	}
+	return &w.slices[number-w.division.First]
+}
+
 // find returns the grant with the number, or nil.
 func (w *holding) find(number uint64) *heldGrant {
 	for i := range w.grants {
@@ -529,12 +538,17 @@
 		if a.slice != e.Slice || a.hold.name != e.Workspace {
 			continue
 		}
-		w, s := a.hold, &a.hold.slices[a.slice]
+		w, s := a.hold, a.hold.slice(a.slice)
 		end := p.sent.Add(GrantTime)
 		if e.Granted > 0 && now.Before(end) {
-			w.add(heldGrant{number: e.Grant, slice: e.Slice, left: e.Granted, end: end})
+			g := heldGrant{number: e.Grant, slice: e.Slice, group: p.group, left: e.Granted, end: end}
+			if s == nil { // the division changed since the request
+				g.giveBack(g.left)
+				w.reportBy(now)
+			}
+			w.add(g)
 		}
-		if e.WaitMS > 0 {
+		if s != nil && e.WaitMS > 0 {
 			wait := time.Duration(e.WaitMS) * time.Millisecond
 			s.emptyAt, s.dueAt = now, now.Add(wait)
 			s.emptyUntil = now.Add(min(max(wait, minEmptyTime), maxEmptyTime))
@@ -558,8 +572,7 @@
 func (h *Holder) finish(now time.Time, number uint64, p *pendingRequest, failedUntil time.Time) []string {
 	var names []string
 	for _, a := range p.asks {
-		s := &a.hold.slices[a.slice]
-		if s.pending == number {
+		if s := a.hold.slice(a.slice); s != nil && s.pending == number {
 			s.pending, s.want = 0, 0
 			s.failedUntil = failedUntil
 		}
@@ -657,7 +670,7 @@
 		w.reportAt = time.Time{}
 		for i := range w.grants {
 			if g := &w.grants[i]; g.unacked() {
-				b.request(w.slices[g.slice].group)
+				b.request(g.group)
 				w.reportAt = b.now
 			}
 		}
@@ -668,31 +681,29 @@
 func (b *requestBuilder) ask(w *holding, n int) {
 	var askable [Slices]uint8
 	count := 0
-	for i := range uint8(Slices) {
-		slice := (w.first + i) % Slices
-		s := &w.slices[slice]
-		if !s.usable {
-			continue
-		}
+	for i := range w.division.Count {
+		index := (w.first + i) % w.division.Count
+		s := &w.slices[index]
 		switch s.status(b.now) {
 		case slicePending:
 			n -= int(s.want)
 		case sliceAskable:
-			askable[count] = slice
+			askable[count] = index
 			count++
 		}
 	}
 	w.askAt = b.now.Add(minEmptyTime) // finish sets it earlier
 	count = min(count, n)
 	for i := range count {
-		slice := askable[i]
-		s := &w.slices[slice]
+		index := askable[i]
+		slice := w.division.First + index
+		s := &w.slices[index]
 		want := uint32(part(uint64(n), uint64(count), uint64(i)))
 		r, p := b.request(s.group)
 		r.Entries = append(r.Entries, wire.GrantEntry{Workspace: w.name, Slice: slice, Want: want})
 		p.asks = append(p.asks, pendingAsk{w, slice})
 		s.pending, s.want, s.askedAt = r.Number, want, b.now
-		w.first = (slice + 1) % Slices
+		w.first = (index + 1) % w.division.Count
 	}
 }
 
@@ -704,7 +715,7 @@
 		if !g.unacked() {
 			continue
 		}
-		group := w.slices[g.slice].group
+		group := g.group
 		sent := false
 		for j := range b.requests {
 			r := &b.requests[j]
--- a/internal/process/ratelimit/keeper.go
+++ b/internal/process/ratelimit/keeper.go
@@ -103,17 +103,18 @@
 	k.expire(now)
 	kept := make(map[sliceKey]bool)
 	for _, w := range workspaces {
-		limits := Divide(w)
-		for i := range uint8(Slices) {
-			if limits[i].Burst == 0 || Group(w.Name, i, k.groups) != k.group {
+		division := Divide(w)
+		for i, limit := range division.Limits[:division.Count] {
+			slice := division.First + uint8(i)
+			if Group(w.Name, slice, k.groups) != k.group {
 				continue
 			}
-			key := sliceKey{w.Name, i}
+			key := sliceKey{w.Name, slice}
 			kept[key] = true
 			if b, ok := k.buckets[key]; ok {
-				b.setLimit(now, limits[i])
+				b.setLimit(now, limit)
 			} else {
-				k.buckets[key] = &bucket{limit: limits[i], updated: now}
+				k.buckets[key] = &bucket{limit: limit, updated: now}
 			}
 		}
 	}
--- a/internal/process/ratelimit/ratelimit_test.go
+++ b/internal/process/ratelimit/ratelimit_test.go
@@ -49,7 +49,7 @@
 	It("divide rate and burst exactly and give rate only to slices with burst", func() {
 		for _, w := range []tables.Workspace{ws(100, 1), ws(0.3, 3), ws(1000.1, 5), ws(7, 4), ws(1e12, 1<<40), ws(-1, -1)} {
 			rate, burst := uint64(0), uint64(0)
-			for _, l := range Divide(w) {
+			for _, l := range Divide(w).Limits {
 				Expect(l.Burst > 0 || l.MicroRate == 0).To(BeTrue())
 				rate, burst = rate+l.MicroRate, burst+l.Burst
 			}
@@ -165,7 +165,7 @@
 
 	// Guards against a 429 that no keeper confirmed.
 	It("refuses only after every slice was found empty, then for a short time without asking", func() {
-		h, now, asked := holder(ws(4, 4)), start, start
+		h, now, asked := holder(ws(4, 8)), start, start
 		d := h.Take(now, "w")
 		for range Slices {
 			Expect(d.Verdict).To(Equal(MustAsk))
@@ -265,7 +265,7 @@
 		Entry("small burst", 4, 100.0, 20, 0.8),
 		Entry("many holders", 25, 100.0, 100, 0.9),
 		Entry("slow workspace", 10, 2.0, 4, 0.8),
-		Entry("slow workspace near its rate", Label("known-red"), 10, 2.0, 4, 0.9),
+		Entry("slow workspace near its rate", 10, 2.0, 4, 0.9),
 	)
 
 	// Guards against one message per refused call.
@@ -468,6 +468,62 @@
 	})
 })
 
+var _ = Describe("an edit of the limit", func() {
+	// Guards against tokens of the former and of the new slices at the same
+	// time, which are those of two buckets.
+	It("that changes the division suspends the workspace until former tokens have ended", func() {
+		l := NewLimits()
+		rate := func(at time.Duration) float64 {
+			rows, _ := l.InForce(start.Add(at))
+			return rows[0].Rate
+		}
+		l.Set(start, []tables.Workspace{ws(10, 4)})
+		l.Set(start, []tables.Workspace{ws(20, 5)})
+		Expect(rate(0)).To(BeEquivalentTo(20))
+		l.Set(start, nil)
+		l.Set(start.Add(time.Second), []tables.Workspace{ws(10, 100)})
+		_, next := l.InForce(start.Add(time.Second))
+		Expect(next).To(Equal(start.Add(time.Second + SuspendTime)))
+		Expect(rate(time.Second + SuspendTime - 1)).To(BeZero())
+		Expect(rate(time.Second + SuspendTime)).To(BeEquivalentTo(10))
+	})
+
+	// Guards against spending by a holder of a token of the former slices, also
+	// of one that arrives after the edit.
+	It("ends the tokens of the former slices at a holder", func() {
+		h := NewHolder(8, rand.New(rand.NewPCG(1, 1)))
+		h.SetLimits(start, []tables.Workspace{ws(4, 4)})
+		h.Take(start, "w")
+		r := h.Requests(start)[0]
+		h.SetLimits(start, []tables.Workspace{ws(4, 8)})
+		h.Apply(start, &wire.GrantReply{Number: r.Number, Group: r.Group,
+			Entries: []wire.GrantEntry{{Workspace: "w", Slice: r.Entries[0].Slice, Granted: 1, Grant: 9}}})
+		Expect(h.TakeAgain(start, "w", start).Verdict).To(Equal(MustAsk))
+		Expect(h.Requests(start)).To(ContainElement(HaveField("Entries", ContainElement(HaveField("Returned", BeEquivalentTo(1))))))
+	})
+
+	// Guards against an excess while the daemons apply edits at different times.
+	DescribeTable("keeps the bound while daemons apply it at different times",
+		func(bursts ...int) {
+			for seed := range uint64(10) {
+				s := newSim(seed, 4, 8, ws(20, bursts[0]))
+				s.run(20 * time.Second)
+				s.load(60, false, s.nodes, time.Duration(len(bursts))*12*time.Second)
+				for _, burst := range bursts[1:] {
+					s.run(12 * time.Second)
+					s.edit(ws(20, burst))
+				}
+				s.run(12 * time.Second)
+				Expect(s.audit.worst).To(BeNumerically(">=", -1e-6))
+				Expect(s.audit.admitted).To(BeNumerically(">", 20*5*len(bursts)))
+			}
+		},
+		Entry("more slices", 4, 8),
+		Entry("fewer slices", 8, 1),
+		Entry("twice", 1, 8, 4),
+	)
+})
+
 // Guards the promises that no interval admits more than rate × time + burst
 // and that a group has one keeper with grants at a time: under lost, duplicated
 // and late messages, platform outages, lost answers, late appends, wrong
@@ -486,7 +542,7 @@
 		run := func(t *rapid.T, longest int) {
 			d := seconds(t, longest)
 			share := rapid.SampledFrom([]float64{0.5, 1.5, 5}).Draw(t, "share")
-			s.load(w.Rate*share, false, s.nodes, min(d, 20*time.Second))
+			s.load(s.limit.Rate*share, false, s.nodes, min(d, 20*time.Second))
 			s.run(d)
 		}
 		// fault applies a fault to the keeper or successor of a group or to another node.
@@ -532,7 +588,7 @@
 			"pause": fault(func(t *rapid.T, n *simNode) { n.pausedUntil = s.now + seconds(t, 15) }),
 			// A paused holder has tokens that end while the bucket refills.
 			"pause with tokens": fault(func(t *rapid.T, n *simNode) {
-				s.load(w.Rate/2, false, s.nodes, time.Second)
+				s.load(s.limit.Rate/2, false, s.nodes, time.Second)
 				s.run(time.Second)
 				n.pausedUntil = s.now + 2*time.Second + seconds(t, 2)
 				s.run(n.pausedUntil - s.now)
@@ -558,9 +614,14 @@
 				mean := rapid.SampledFrom([]float64{1e6, 3e6, 3e8, 2e9}).Draw(t, "delay")
 				s.delay = func() time.Duration { return time.Duration(s.rng.ExpFloat64() * mean) }
 			},
+			"edit": func(t *rapid.T) {
+				s.edit(ws(rapid.SampledFrom([]float64{0.5, 10, 20, 100}).Draw(t, "rate"),
+					rapid.SampledFrom([]int{0, 1, 3, 4, 8, 20, 300}).Draw(t, "burst")))
+				run(t, 12)
+			},
 			"": func(t *rapid.T) {
 				if s.fault != "" || s.audit.worst < -1e-6 {
-					t.Fatalf("%v requests over rate %v × time + burst %d; %v", -s.audit.worst, w.Rate, w.Burst, s.fault)
+					t.Fatalf("%v requests over rate %v × time + burst %d; %v", -s.audit.worst, s.limit.Rate, s.limit.Burst, s.fault)
 				}
 			},
 		})
--- a/internal/process/ratelimit/sim_test.go
+++ b/internal/process/ratelimit/sim_test.go
@@ -25,6 +25,8 @@
 	loss, dup float64
 	delay     func() time.Duration
 	audit     audit
+	versions  []tables.Workspace // all limits; the last is that in force
+	edited    time.Duration      // when the last edit was made
 
 	log        [][]byte // the keepers stream
 	down       bool     // the platform
@@ -53,9 +55,23 @@
 	admitted, exceeded, unavailable int
 }
 
-func (a *audit) admit(now time.Duration) {
-	a.level = min(float64(a.limit.Burst), a.level+a.limit.Rate*(now-a.at).Seconds()) - 1
+func (a *audit) advance(now time.Duration) {
+	a.level = min(float64(a.limit.Burst), a.level+a.limit.Rate*(now-a.at).Seconds())
 	a.at = now
+}
+
+// setLimit changes the limit as of now. Intervals that begin at now have the
+// whole burst of the new limit, and earlier ones the difference of both.
+func (a *audit) setLimit(now time.Duration, limit tables.Workspace) {
+	a.advance(now)
+	a.level += max(float64(limit.Burst-a.limit.Burst), 0)
+	a.limit = limit
+	a.advance(now)
+}
+
+func (a *audit) admit(now time.Duration) {
+	a.advance(now)
+	a.level--
 	a.worst = min(a.worst, a.level)
 	a.admitted++
 }
@@ -67,6 +83,8 @@
 	offset, pausedUntil time.Duration
 	dead, leaving, cut  bool // cut off from the platform
 	holder              *Holder
+	limits              *Limits
+	version             int // applied versions of the limit
 	claims              *Claims
 	keepers             map[uint32]*Keeper
 	states              map[uint32][]byte // received handed-over states
@@ -78,7 +96,7 @@
 
 // newSim starts the nodes and lets them claim the groups of an empty log.
 func newSim(seed uint64, nodes int, groups uint32, limit tables.Workspace) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), groups: groups, limit: limit,
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), groups: groups, limit: limit, versions: []tables.Workspace{limit},
 		audit: audit{limit: limit, level: float64(limit.Burst)}, grantEnds: map[uint32]grantEnd{}}
 	s.delay = func() time.Duration { return time.Millisecond + time.Duration(s.rng.IntN(int(time.Millisecond))) }
 	for i := range nodes {
@@ -92,13 +110,55 @@
 	n := &simNode{s: s, id: id,
 		skew: 0.953 + 0.047*s.rng.Float64(), offset: time.Duration(s.rng.Int64N(int64(time.Hour))),
 		keepers: map[uint32]*Keeper{}, states: map[uint32][]byte{}, blindUntil: map[string]time.Duration{}}
-	n.holder = NewHolder(s.groups, s.rng)
-	n.holder.SetLimits(n.clock(), []tables.Workspace{s.limit})
+	n.holder, n.limits = NewHolder(s.groups, s.rng), NewLimits()
+	// A daemon that starts right after an edit does not know the former
+	// division (docs/decisions/rates.md); here it knows the former version.
+	for version := max(len(s.versions)-2, 0); version < len(s.versions); version++ {
+		n.apply(version)
+	}
 	n.claims = NewClaims(n.member(), s.groups, 100*time.Hour, s.rng)
 	s.at(n, 0, n.slowTick)
 	s.nodes = append(s.nodes, n)
 }
 
+// edit changes the limit. The nodes apply it within 4 s. Until grants by the
+// former limit have ended, the audit allows the greater rate and burst of both.
+func (s *sim) edit(limit tables.Workspace) {
+	version := len(s.versions)
+	s.limit, s.edited, s.versions = limit, s.now, append(s.versions, limit)
+	s.audit.setLimit(s.now, ws(max(s.audit.limit.Rate, limit.Rate), max(s.audit.limit.Burst, limit.Burst)))
+	for _, n := range s.nodes {
+		s.at(n, time.Duration(s.rng.IntN(int(4*time.Second))), func() { n.apply(version) })
+	}
+	s.at(nil, 20*time.Second, func() {
+		if len(s.versions) == version+1 {
+			s.audit.setLimit(s.now, limit)
+		}
+	})
+}
+
+// apply applies a version of the limit, if no later one is in force here.
+func (n *simNode) apply(version int) {
+	if version < n.version {
+		return
+	}
+	n.version = version
+	n.limits.Set(n.clock(), []tables.Workspace{n.s.versions[version]})
+	n.setLimits()
+}
+
+// setLimits applies the limits in force now, and those after a suspension.
+func (n *simNode) setLimits() {
+	rows, next := n.limits.InForce(n.clock())
+	n.holder.SetLimits(n.clock(), rows)
+	for _, k := range n.keepers {
+		k.SetLimits(n.clock(), rows)
+	}
+	if !next.IsZero() {
+		n.s.at(n, time.Duration(float64(next.Sub(n.clock()))/n.skew)+time.Microsecond, n.setLimits)
+	}
+}
+
 func (n *simNode) member() Member {
 	return Member{n.id, string(rune('x' + n.id.Member[0]%3)), n.id.Member, n.leaving}
 }
@@ -198,7 +258,8 @@
 				n.keepers[a.Group] = must(TakeOver(n.clock(), n.states[a.Group], a.Epoch))
 				s.grantEnds[a.Group] = grantEnd{n.id, s.grantEnds[a.Group].at} // it counts the old grants
 			}
-			n.keepers[a.Group].SetLimits(n.clock(), []tables.Workspace{s.limit})
+			rows, _ := n.limits.InForce(n.clock())
+			n.keepers[a.Group].SetLimits(n.clock(), rows)
 		case *StopGranting:
 			delete(n.keepers, a.Group)
 		case *ProbeDeath:
@@ -324,6 +385,9 @@
 }
 
 func (n *simNode) request() {
+	if n.version != len(n.s.versions)-1 && n.s.now-n.s.edited > 4*time.Second {
+		return // keyed requests are refused as tables-stale
+	}
 	now := n.clock()
 	n.usedAt = n.s.now
 	if !n.ticking {
--- a/internal/process/ratelimit/slice.go
+++ b/internal/process/ratelimit/slice.go
@@ -15,10 +15,15 @@
 	"tarragonshore.example/tarragonshore/internal/version/tables"
 )
 
-// Slices is the number of parts into which a workspace's rate is divided. It
-// is a constant because keepers and holders of all hosts must agree on it.
+// Slices is the greatest number of parts into which a workspace's rate is
+// divided.
 const Slices = 4
 
+// minSliceBurst is the least burst of each of several slices. Buckets hold
+// fractions of tokens that cannot be added up: four slices that hold 2.6 tokens
+// together may have a single whole one to grant.
+const minSliceBurst = 2
+
 const (
 	microPerToken = 1_000_000
 	// maxRate (requests/s) and maxSliceBurst (requests) keep the integer
@@ -42,26 +47,46 @@
 	return uint32(d.Sum64() % uint64(groups))
 }
 
-// Divide returns the limits of a workspace's slices. Their sums are the
+// Division is how the rate and burst of a workspace are divided. It depends on
+// the workspace's row of the tables only, so that all hosts agree on it.
+type Division struct {
+	// Count is the number of slices: 1, 2 or 4, or 0 without rate or burst.
+	Count uint8
+	// First is the number of the first slice; the others follow. Divisions with
+	// different counts have no slice number in common, so that a keeper and a
+	// holder that have different versions of the tables exchange no tokens.
+	First uint8
+	// Limits[:Count] are the limits of the slices.
+	Limits [Slices]SliceLimit
+}
+
+// Divide returns the division of a workspace. The sums of the limits are the
 // workspace's burst and its rate, rounded down to a millionth of a request per
-// second. Only slices with a burst get a part of the rate, since the others
-// could not spend it; so a workspace with a burst below Slices keeps its whole
-// rate.
-func Divide(w tables.Workspace) [Slices]SliceLimit {
-	var limits [Slices]SliceLimit
+// second.
+func Divide(w tables.Workspace) Division {
 	burst := uint64(min(max(w.Burst, 0), Slices*maxSliceBurst))
 	rate := uint64(0)
 	if w.Rate > 0 { // false for NaN
 		rate = uint64(math.Floor(min(w.Rate, maxRate) * microPerToken))
 	}
-	used := min(burst, Slices)
-	for i := range used {
-		limits[i] = SliceLimit{
-			MicroRate: part(rate, used, i),
-			Burst:     part(burst, used, i),
+	var d Division
+	switch {
+	case burst == 0 || rate == 0:
+		return d
+	case burst >= 4*minSliceBurst:
+		d.Count, d.First = 4, 0
+	case burst >= 2*minSliceBurst:
+		d.Count, d.First = 2, 4
+	default:
+		d.Count, d.First = 1, 6
+	}
+	for i := range uint64(d.Count) {
+		d.Limits[i] = SliceLimit{
+			MicroRate: part(rate, uint64(d.Count), i),
+			Burst:     part(burst, uint64(d.Count), i),
 		}
 	}
-	return limits
+	return d
 }
 
 // part returns the i-th of n integer parts of total; the parts differ by at most 1.
