Report refusals of a fleet of holders in the rates slopes

Cause: the slopes of grant messages come from one holder that uses a thousandth of the rate, so that no change of the exchange can show wrongful refusals there.

Change: each row is also run with 110 holders whose load is 90% of the rate, with a burst of one second, and reports refused requests, waits and bytes.

--- a/internal/process/slopes/rates.go
+++ b/internal/process/slopes/rates.go
@@ -78,59 +78,124 @@
 	return nil
 }
 
+// holderSlopes reports the grant messages of one holder whose workspaces have
+// tokens left for the whole fleet, and the refusals of a tenth of the fleet whose
+// load is loadShare of the rates.
 func holderSlopes(r *report, perSecond int, groups uint32, active int) error {
-	const seconds = 10
-	now, far := time.Unix(1_800_000_000, 0), time.Unix(1_900_000_000, 0)
-	h := ratelimit.NewHolder(groups, mathrand.New(mathrand.NewPCG(1, 1)))
+	size := fmt.Sprintf("%d takes/s %d groups %d workspaces", perSecond, groups, active)
+	one := newGrantRun(1, groups, workspaceRows(active))
+	if err := one.load(perSecond); err != nil {
+		return err
+	}
+	r.add(size, "grant messages both ways", float64(one.messages)/grantSeconds, "1/s")
+	r.add(size, "grant bytes both ways", float64(one.bytes)/grantSeconds, "B/s")
+	r.add(size, "entries per request", float64(one.entries)/float64(max(one.messages/2, 1)), "")
+	r.add(size, "waits per take", float64(one.waits)/float64(one.takes), "")
+
 	rows := workspaceRows(active)
-	h.SetLimits(now, rows)
-	keepers := make([]*ratelimit.Keeper, groups)
-	for i := range keepers {
-		keepers[i] = ratelimit.NewKeeper(uint32(i), groups, 1)
-		keepers[i].SetLimits(now, rows)
+	for i := range rows {
+		rows[i].Rate = fleetHolders * float64(perSecond) / float64(active) / loadShare
+		rows[i].Burst = int(rows[i].Rate)
 	}
-	id := ratelimit.DaemonID{Member: "host-0001", Incarnation: 1}
-	var messages, entries, bytes, takes, waits int
-	exchange := func() error {
-		requests := h.Requests(now)
-		for i := range requests {
-			reply, _ := keepers[requests[i].Group].Grant(now, far, id, &requests[i])
-			for _, m := range []wire.Message{requests[i], reply} {
-				frame, err := wire.Encode(m)
-				if err != nil {
-					return err
-				}
-				bytes += len(frame)
-			}
-			messages += 2
-			entries += len(requests[i].Entries)
-			h.Apply(now, &reply)
-		}
-		return nil
+	fleet := newGrantRun(fleetHolders, groups, rows)
+	if err := fleet.load(perSecond); err != nil {
+		return err
+	}
+	size += fmt.Sprintf(" %d holders", fleetHolders)
+	r.add(size, "refused per take", float64(fleet.refused)/float64(fleet.takes), "")
+	r.add(size, "waits per take", float64(fleet.waits)/float64(fleet.takes), "")
+	r.add(size, "grant bytes both ways per holder", float64(fleet.bytes)/grantSeconds/fleetHolders, "B/s")
+	return nil
+}
+
+const (
+	grantSeconds = 10
+	fleetHolders = 110
+	loadShare    = 0.9
+)
+
+// grantRun is a run of holders against the keepers of all groups, which answer
+// at once, in virtual time.
+type grantRun struct {
+	now     time.Time
+	rng     *mathrand.Rand
+	rows    []tables.Workspace
+	holders []*ratelimit.Holder
+	keepers []*ratelimit.Keeper
+
+	messages, entries, bytes, takes, waits, refused int
+}
+
+func newGrantRun(holders int, groups uint32, rows []tables.Workspace) *grantRun {
+	g := &grantRun{now: time.Unix(1_800_000_000, 0), rng: mathrand.New(mathrand.NewPCG(2, 2)), rows: rows}
+	for i := range holders {
+		h := ratelimit.NewHolder(groups, mathrand.New(mathrand.NewPCG(1, uint64(i+1))))
+		h.SetLimits(g.now, rows)
+		g.holders = append(g.holders, h)
+	}
+	for i := range groups {
+		k := ratelimit.NewKeeper(i, groups, 1)
+		k.SetLimits(g.now, rows)
+		g.keepers = append(g.keepers, k)
 	}
-	rng := mathrand.New(mathrand.NewPCG(2, 2))
-	now = now.Add(5 * time.Second) // buckets fill
-	for tick := range int(seconds * time.Second / ratelimit.Tick) {
-		now = now.Add(ratelimit.Tick)
-		for range perSecond*(tick+1)/100 - perSecond*tick/100 {
-			takes++
-			name := workspaceName(rng.IntN(active))
-			for d := h.Take(now, name); d.Verdict == ratelimit.MustAsk; d = h.TakeAgain(now, name, now) {
-				waits++
-				if err := exchange(); err != nil {
+	g.now = g.now.Add(5 * time.Second) // buckets fill
+	return g
+}
+
+// load lets each holder take tokens of random workspaces.
+func (g *grantRun) load(perSecond int) error {
+	for tick := range int(grantSeconds * time.Second / ratelimit.Tick) {
+		g.now = g.now.Add(ratelimit.Tick)
+		for holder := range g.holders {
+			for range perSecond*(tick+1)/100 - perSecond*tick/100 {
+				if err := g.take(holder, g.rows[g.rng.IntN(len(g.rows))].Name); err != nil {
 					return err
 				}
 			}
+			if err := g.exchange(holder); err != nil {
+				return err
+			}
 		}
-		if err := exchange(); err != nil {
+	}
+	return nil
+}
+
+func (g *grantRun) take(holder int, workspace string) error {
+	h := g.holders[holder]
+	g.takes++
+	d := h.Take(g.now, workspace)
+	if d.Verdict == ratelimit.MustAsk {
+		g.waits++
+	}
+	for ; d.Verdict == ratelimit.MustAsk; d = h.TakeAgain(g.now, workspace, g.now) {
+		if err := g.exchange(holder); err != nil {
 			return err
 		}
 	}
-	size := fmt.Sprintf("%d takes/s %d groups %d workspaces", perSecond, groups, active)
-	r.add(size, "grant messages both ways", float64(messages)/seconds, "1/s")
-	r.add(size, "grant bytes both ways", float64(bytes)/seconds, "B/s")
-	r.add(size, "entries per request", float64(entries)/float64(max(messages/2, 1)), "")
-	r.add(size, "waits per take", float64(waits)/float64(takes), "")
+	if d.Verdict != ratelimit.Admitted {
+		g.refused++
+	}
+	return nil
+}
+
+// exchange passes the holder's messages to the keepers and the replies back.
+func (g *grantRun) exchange(holder int) error {
+	h, far := g.holders[holder], g.now.Add(time.Hour)
+	id := ratelimit.DaemonID{Member: fmt.Sprintf("host-%04d", holder+1), Incarnation: 1}
+	requests := h.Requests(g.now)
+	for i := range requests {
+		reply, _ := g.keepers[requests[i].Group].Grant(g.now, far, id, &requests[i])
+		for _, m := range []wire.Message{requests[i], reply} {
+			frame, err := wire.Encode(m)
+			if err != nil {
+				return err
+			}
+			g.bytes += len(frame)
+		}
+		g.messages += 2
+		g.entries += len(requests[i].Entries)
+		h.Apply(g.now, &reply)
+	}
 	return nil
 }
 
