Ask one slice of a workspace at a time

Cause: a holder splits each draw over all slices of the workspace, so that a draw takes up to four exchanges, and as many reports follow.

Change: a draw asks one slice, and the next draw the next slice.

--- a/internal/process/ratelimit/holder.go
+++ b/internal/process/ratelimit/holder.go
@@ -181,7 +181,7 @@
 	reportTime time.Duration
 	division   Division
 	slices     [Slices]heldSlice // [:division.Count]
-	first      uint8             // index of the slice to ask first the next time
+	first      uint8             // index of the slice to ask first
 
 	grants  []heldGrant // in order of their ends
 	current int         // first grant that may have tokens left
@@ -677,10 +677,11 @@
 	}
 }
 
-// ask adds wants for n tokens, less those that are being asked for.
+// ask adds a want for n tokens, less those that are being asked for. One slice
+// is asked at a time, which takes fewer messages, and the next one the next
+// time, which keeps the demand on all slices equal.
 func (b *requestBuilder) ask(w *holding, n int) {
-	var askable [Slices]uint8
-	count := 0
+	chosen, found := uint8(0), false
 	for i := range w.division.Count {
 		index := (w.first + i) % w.division.Count
 		s := &w.slices[index]
@@ -688,23 +689,22 @@
 		case slicePending:
 			n -= int(s.want)
 		case sliceAskable:
-			askable[count] = index
-			count++
+			if !found {
+				chosen, found = index, true
+			}
 		}
 	}
 	w.askAt = b.now.Add(minEmptyTime) // finish sets it earlier
-	count = min(count, n)
-	for i := range count {
-		index := askable[i]
-		slice := w.division.First + index
-		s := &w.slices[index]
-		want := uint32(part(uint64(n), uint64(count), uint64(i)))
-		r, p := b.request(s.group)
-		r.Entries = append(r.Entries, wire.GrantEntry{Workspace: w.name, Slice: slice, Want: want})
-		p.asks = append(p.asks, pendingAsk{w, slice})
-		s.pending, s.want, s.askedAt = r.Number, want, b.now
-		w.first = (index + 1) % w.division.Count
+	if !found || n <= 0 {
+		return
 	}
+	slice, want := w.division.First+chosen, uint32(n)
+	s := &w.slices[chosen]
+	r, p := b.request(s.group)
+	r.Entries = append(r.Entries, wire.GrantEntry{Workspace: w.name, Slice: slice, Want: want})
+	p.asks = append(p.asks, pendingAsk{w, slice})
+	s.pending, s.want, s.askedAt = r.Number, want, b.now
+	w.first = (chosen + 1) % w.division.Count
 }
 
 // reportAlong adds the reports of a workspace to the messages that are sent anyway.
