Draw spare tokens while a slice has many left

Cause: a holder draws ahead the use of half a second, rounded down. With 2.6 requests/s per workspace that is often 0, so that a request waits for a keeper. A fixed token more per holder would take a small burst from the others.

Change: for a burst of at least 64, a holder with a recent use above one request asks for the use of 0.9 s and one token more. The keeper grants these spare tokens only from the upper half of the slice's level. Up to 2 tokens are kept until their grant ends when the use falls. GrantEntry has a new optional field, Spare; a keeper without it grants none.

A workspace with one request in seconds still waits, since a token would end before the next request.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -189,6 +189,8 @@
 	// a reply the number of the new grant.
 	Grant  uint64 `cbor:"7,keyasint,omitempty"`
 	WaitMS uint32 `cbor:"8,keyasint,omitempty"` // time until a token is due; 0 if granted
+	// Spare is how many tokens are wanted in addition if the slice has many left.
+	Spare uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // GrantRequest asks the keeper of a rate group for tokens and settles old grants.
--- a/internal/process/ratelimit/bucket.go
+++ b/internal/process/ratelimit/bucket.go
@@ -77,6 +77,16 @@
 	return n
 }
 
+// takeSpare moves up to want whole tokens from the upper half of the level to
+// outstanding. The lower half is left for requests that wait for a token.
+func (b *bucket) takeSpare(want uint64) uint64 {
+	level, reserve := b.level/nanoPerToken, (b.limit.Burst+1)/2
+	if level <= reserve {
+		return 0
+	}
+	return b.take(min(want, level-reserve))
+}
+
 // settle ends outstanding tokens; returned ones go back to the level.
 func (b *bucket) settle(spent, returned uint64) {
 	b.outstanding -= spent + returned
--- a/internal/process/ratelimit/holder.go
+++ b/internal/process/ratelimit/holder.go
@@ -39,6 +39,17 @@
 	// ahead while the workspace is within its rate; the rest is room for
 	// tokens that are spent but not yet reported, and for requests elsewhere.
 	aheadBurstShare = 0.5
+	// minSpareUse (requests/s) is the least recent use with which spare tokens
+	// are drawn. One request alone counts as a use of 1/s.
+	minSpareUse = 1.05
+	// minSpareBurst is the smallest burst of which spare tokens are drawn. With
+	// a few tokens per slice they were missing elsewhere.
+	minSpareBurst = 64
+	// keptTokens of a burst of at least minSpareBurst are not returned before the
+	// end of their grant when the use falls: the next request may come soon.
+	keptTokens = 2
+	// spareInterval is the least time between draws of spare tokens only.
+	spareInterval = 250 * time.Millisecond
 	// minAheadBurst is the smallest burst of which tokens are drawn ahead.
 	// Holders of a smaller one would keep it from each other.
 	minAheadBurst = 8
@@ -192,6 +203,7 @@
 	waiting int // requests told MustAsk that have not ended
 
 	low      int       // stock below which tokens are drawn ahead
+	spareAt  time.Time // no draw of spare tokens only before this time
 	askAt    time.Time // not before this time
 	reportAt time.Time // zero if there is nothing to report
 }
@@ -328,6 +340,16 @@
 	return int(min(w.useAt(now)*seconds, aheadBurstShare*w.burst))
 }
 
+// spare returns how many tokens to hold in addition to ahead if the slices have
+// many left, so that fewer requests wait.
+func (w *holding) spare(now time.Time, ahead int) int {
+	use := w.useAt(now)
+	if w.burst < minSpareBurst || use < minSpareUse {
+		return 0
+	}
+	return max(int(min(use, w.rate)*aheadShare)+1-ahead, 0)
+}
+
 // Take decides on a new request of a workspace. It does not allocate. A
 // decision MustAsk must be followed by TakeAgain until it gives another
 // verdict, or by Leave.
@@ -659,12 +681,20 @@
 func (b *requestBuilder) plan(w *holding) {
 	lasting := w.prune(b.now)
 	ahead := w.ahead(b.now)
-	if excess := w.stock - w.waiting; excess > ahead+ahead/2 {
-		w.reduce(b.now, ahead+w.waiting)
+	target := ahead + w.spare(b.now, ahead)
+	most := target + target/2
+	if w.burst >= minSpareBurst {
+		most = max(most, keptTokens)
+	}
+	if w.stock-w.waiting > most {
+		w.reduce(b.now, target+w.waiting)
 	}
 	w.low = (ahead + 1) / 2
-	if w.waiting > 0 || (lasting < w.low && !b.now.Before(w.askAt)) {
-		b.ask(w, w.waiting+ahead-lasting)
+	switch {
+	case w.waiting > 0,
+		lasting < w.low && !b.now.Before(w.askAt),
+		lasting < (target+1)/2 && !b.now.Before(w.spareAt):
+		b.ask(w, w.waiting+ahead-lasting, w.waiting+target-lasting)
 	}
 	if !w.reportAt.IsZero() && !b.now.Before(w.reportAt) {
 		w.reportAt = time.Time{}
@@ -677,10 +707,11 @@
 	}
 }
 
-// ask adds a want for n tokens, less those that are being asked for. One slice
+// ask adds a want for n tokens, and for spare ones up to most, less those that
+// are being asked for. One slice
 // is asked at a time, which takes fewer messages, and the next one the next
 // time, which keeps the demand on all slices equal.
-func (b *requestBuilder) ask(w *holding, n int) {
+func (b *requestBuilder) ask(w *holding, n, most int) {
 	chosen, found := uint8(0), false
 	for i := range w.division.Count {
 		index := (w.first + i) % w.division.Count
@@ -688,6 +719,7 @@
 		switch s.status(b.now) {
 		case slicePending:
 			n -= int(s.want)
+			most -= int(s.want)
 		case sliceAskable:
 			if !found {
 				chosen, found = index, true
@@ -695,15 +727,17 @@
 		}
 	}
 	w.askAt = b.now.Add(minEmptyTime) // finish sets it earlier
-	if !found || n <= 0 {
+	if !found || most <= 0 || (n <= 0 && b.now.Before(w.spareAt)) {
 		return
 	}
-	slice, want := w.division.First+chosen, uint32(n)
+	w.spareAt = b.now.Add(spareInterval)
+	slice, want := w.division.First+chosen, uint32(max(n, 0))
 	s := &w.slices[chosen]
 	r, p := b.request(s.group)
-	r.Entries = append(r.Entries, wire.GrantEntry{Workspace: w.name, Slice: slice, Want: want})
+	r.Entries = append(r.Entries, wire.GrantEntry{
+		Workspace: w.name, Slice: slice, Want: want, Spare: uint32(most) - want})
 	p.asks = append(p.asks, pendingAsk{w, slice})
-	s.pending, s.want, s.askedAt = r.Number, want, b.now
+	s.pending, s.want, s.askedAt = r.Number, uint32(most), b.now
 	w.first = (chosen + 1) % w.division.Count
 }
 
--- a/internal/process/ratelimit/keeper.go
+++ b/internal/process/ratelimit/keeper.go
@@ -167,7 +167,7 @@
 	h.last = request.Number
 	reply.Entries = make([]wire.GrantEntry, 0, len(request.Entries))
 	for i := range request.Entries {
-		if e := &request.Entries[i]; e.Want > 0 {
+		if e := &request.Entries[i]; e.Want > 0 || e.Spare > 0 {
 			reply.Entries = append(reply.Entries, k.grant(now, holder, h, e))
 		}
 	}
@@ -183,7 +183,11 @@
 		return out
 	}
 	b.advance(now)
-	if n := b.take(uint64(e.Want)); n > 0 {
+	n := b.take(uint64(e.Want))
+	if n == uint64(e.Want) {
+		n += b.takeSpare(uint64(e.Spare))
+	}
+	if n > 0 {
 		k.number++
 		g := &keeperGrant{
 			number: k.number, holder: id, key: sliceKey{e.Workspace, e.Slice},
--- a/internal/process/ratelimit/ratelimit_test.go
+++ b/internal/process/ratelimit/ratelimit_test.go
@@ -105,6 +105,14 @@
 		Expect(reason).To(Equal(GrantStale))
 	})
 
+	// Guards against spare tokens of one holder that are missing for the waiting
+	// requests of another.
+	It("grants spare tokens only from the upper half of the level", func() {
+		Expect(ask(k, now, 1, wire.GrantEntry{Workspace: "w", Want: 2, Spare: 9}).Granted).To(BeEquivalentTo(5))
+		Expect(ask(k, now, 2, wire.GrantEntry{Workspace: "w", Spare: 1})).To(Equal(wire.GrantEntry{Workspace: "w"}))
+		Expect(ask(k, now, 3, entry(9)).Granted).To(BeEquivalentTo(5))
+	})
+
 	It("counts unreported tokens as spent at the end of the grant", func() {
 		ask(k, now, 1, entry(10))
 		Expect(level(k, now.Add(2100*time.Millisecond-1))).To(Equal([2]uint64{0, 10}))
@@ -207,6 +215,19 @@
 		Expect(h.holds["w"].stock).To(Equal(0))
 	})
 
+	// Guards against a round trip for each request of a workspace in recent use.
+	It("draws a spare token after two requests and keeps it", func() {
+		h, now := holder(ws(1000, 1000)), start
+		for _, granted := range []uint32{1, 2} {
+			Expect(h.Take(now, "w").Verdict).To(Equal(MustAsk))
+			answer(h, now, granted, 0)
+			Expect(h.TakeAgain(now, "w", now).Verdict).To(Equal(Admitted))
+			now = now.Add(500 * time.Millisecond)
+		}
+		Expect(h.Requests(now.Add(time.Second))).NotTo(ContainElement(HaveField("Entries", ContainElement(HaveField("Returned", Not(BeZero()))))))
+		Expect(h.Take(now.Add(time.Second), "w").Verdict).To(Equal(Admitted))
+	})
+
 	It("gives tokens back when the burst is lowered and at a planned stop", func() {
 		h := holder(ws(400, 400))
 		h.Take(start, "w")
