Leave workspace and slice out of reports of spent tokens

Cause: half of the bytes of a report are the workspace's name, which the keeper does not read: it settles a report by the number of the grant.

Change: reports carry the number of the grant and its totals only.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -179,8 +179,9 @@
 
 // GrantEntry is one workspace's part of a grant exchange. Tokens are whole requests.
 type GrantEntry struct {
-	Workspace string `cbor:"1,keyasint"`
-	Slice     uint8  `cbor:"2,keyasint"`
+	// Workspace and Slice are empty in a report, which Grant identifies.
+	Workspace string `cbor:"1,keyasint,omitempty"`
+	Slice     uint8  `cbor:"2,keyasint,omitempty"`
 	Want      uint32 `cbor:"3,keyasint,omitempty"`
 	Granted   uint32 `cbor:"4,keyasint,omitempty"`
 	Spent     uint32 `cbor:"5,keyasint,omitempty"`
--- a/internal/process/ratelimit/holder.go
+++ b/internal/process/ratelimit/holder.go
@@ -122,7 +122,6 @@
 // heldGrant is a grant as its holder sees it. Tokens are left, spent or returned.
 type heldGrant struct {
 	number                uint64
-	slice                 uint8
 	group                 uint32
 	left, spent, returned uint32
 	// What the keeper has confirmed of spent and returned.
@@ -563,7 +562,7 @@
 		w, s := a.hold, a.hold.slice(a.slice)
 		end := p.sent.Add(GrantTime)
 		if e.Granted > 0 && now.Before(end) {
-			g := heldGrant{number: e.Grant, slice: e.Slice, group: p.group, left: e.Granted, end: end}
+			g := heldGrant{number: e.Grant, group: p.group, left: e.Granted, end: end}
 			if s == nil { // the division changed since the request
 				g.giveBack(g.left)
 				w.reportBy(now)
@@ -756,8 +755,7 @@
 			if r.Group != group {
 				continue
 			}
-			r.Entries = append(r.Entries, wire.GrantEntry{
-				Workspace: w.name, Slice: g.slice, Grant: g.number, Spent: g.spent, Returned: g.returned})
+			r.Entries = append(r.Entries, wire.GrantEntry{Grant: g.number, Spent: g.spent, Returned: g.returned})
 			p := b.h.pending[r.Number]
 			p.acks = append(p.acks, pendingAck{w, g.number, g.spent, g.returned})
 			sent = true
