Test that a suspended workspace gets its rate back

Cause: no test of the daemon covered the timer that ends the suspension after an edit that changes the number of slices.

Change: a fleet in virtual time gets an edit of the burst from 4 to 100 under 3 times the rate of 200/s.

Without the suspension it passes, since all daemons apply the edit within milliseconds; that is tested in process/ratelimit.

--- a/internal/process/daemon/rate_test.go
+++ b/internal/process/daemon/rate_test.go
@@ -156,3 +156,27 @@
 	Entry("several times the rate: at most rate × time + burst in every interval", 3*testRate),
 	Entry("within the rate: wrongful refusals", testRate*7/10),
 )
+
+// Guards against a workspace that stays suspended after an edit that changes
+// its number of slices. Excess by daemons that apply the edit late is tested in
+// process/ratelimit.
+var _ = It("keeps the rate over an edit of the burst that changes the slices", func() {
+	inFleets(controlFleet, 1, func(_ int, f *fleet, g *WithT) {
+		f.publish(f.testTables(controlFleet, testRate, 4))
+		time.Sleep(15 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		t, wg := f.rateLoad(ctx, 3*testRate, 1)
+		time.Sleep(5 * time.Second)
+		f.publish(f.testTables(controlFleet, testRate, testBurst))
+		time.Sleep(10 * time.Second)
+		t.mu.Lock()
+		before := len(t.admitted)
+		t.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		cancel()
+		wg.Wait()
+		fmt.Println("rate: admitted until 10 s after the edit", before, "and in all", len(t.admitted))
+		g.Expect(len(t.admitted) - before).To(BeNumerically(">", 9*testRate))
+		g.Expect(t.excess(testRate, testBurst)).To(BeNumerically("<=", 0))
+	})
+})
