--- a/internal/process/ratelimit/keeper.go
+++ b/internal/process/ratelimit/keeper.go
@@ -103,17 +103,18 @@
 	k.expire(now)
 	kept := make(map[sliceKey]bool)
 	for _, w := range workspaces {
-		limits := Divide(w)
-		for i := range uint8(Slices) {
-			if limits[i].Burst == 0 || Group(w.Name, i, k.groups) != k.group {
+		division := Divide(w)
+		for i, limit := range division.Limits[:division.Count] {
+			slice := division.First + uint8(i)
+			if Group(w.Name, slice, k.groups) != k.group {
 				continue
 			}
-			key := sliceKey{w.Name, i}
+			key := sliceKey{w.Name, slice}
 			kept[key] = true
 			if b, ok := k.buckets[key]; ok {
-				b.setLimit(now, limits[i])
+				b.setLimit(now, limit)
 			} else {
-				k.buckets[key] = &bucket{limit: limits[i], updated: now}
+				k.buckets[key] = &bucket{limit: limit, updated: now}
 			}
 		}
 	}
@@ -166,7 +167,7 @@
 	h.last = request.Number
 	reply.Entries = make([]wire.GrantEntry, 0, len(request.Entries))
 	for i := range request.Entries {
-		if e := &request.Entries[i]; e.Want > 0 {
+		if e := &request.Entries[i]; e.Want > 0 || e.Spare > 0 {
 			reply.Entries = append(reply.Entries, k.grant(now, holder, h, e))
 		}
 	}
@@ -182,7 +183,11 @@
 		return out
 	}
 	b.advance(now)
-	if n := b.take(uint64(e.Want)); n > 0 {
+	n := b.take(uint64(e.Want))
+	if n == uint64(e.Want) {
+		n += b.takeSpare(uint64(e.Spare))
+	}
+	if n > 0 {
 		k.number++
 		g := &keeperGrant{
 			number: k.number, holder: id, key: sliceKey{e.Workspace, e.Slice},
