Refuse a suspended workspace as unavailable, not as over its rate

An edit that changes the number of slices suspends the workspace for 5 s. Its requests got 429 with Retry-After up to 60 s, although the workspace was inside its rate. The spec of such an edit fails without the change (no 503 seen).

--- a/internal/process/daemon/rate_test.go
+++ b/internal/process/daemon/rate_test.go
@@ -172,6 +172,7 @@
 		t.mu.Lock()
 		before := len(t.admitted)
 		t.mu.Unlock()
+		g.Expect(t.refused[problem.KindRateUnavailable]).To(BeNumerically(">", 0), "a suspended workspace is not over its rate")
 		time.Sleep(10 * time.Second)
 		cancel()
 		wg.Wait()
--- a/internal/process/daemon/rates.go
+++ b/internal/process/daemon/rates.go
@@ -123,9 +123,23 @@
 		go r.flush()
 	}
 	logging.DebugEvent("rates", "rate", "request", requestID, "workspace", workspace, "reason", string(decision.Reason))
+	if decision.Reason == ratelimit.ReasonZeroLimit {
+		decision = r.suspended(workspace, decision)
+	}
 	return rateProblem(workspace, decision)
 }
 
+// suspended returns the refusal of a workspace that an edit has suspended, or
+// the decision as it is.
+func (r *rates) suspended(workspace string, decision ratelimit.Decision) ratelimit.Decision {
+	r.limitsMu.Lock()
+	defer r.limitsMu.Unlock()
+	if left := r.limits.Suspended(time.Now(), workspace); left > 0 {
+		return ratelimit.Decision{Verdict: ratelimit.RateUnavailable, Reason: ratelimit.ReasonSuspended, RetryAfter: left}
+	}
+	return decision
+}
+
 // waitForTokens waits for a reply that concerns the workspace, or for the end
 // of the time to answer. It returns false if ctx ends first.
 func (r *rates) waitForTokens(ctx context.Context, wake <-chan struct{}, asked time.Time) bool {
--- a/internal/process/ratelimit/decision.go
+++ b/internal/process/ratelimit/decision.go
@@ -39,6 +39,7 @@
 	ReasonZeroLimit        Reason = "zero-limit"        // RateExceeded: rate or burst is 0
 	ReasonUnknownWorkspace Reason = "unknown-workspace" // RateExceeded: not in the tables
 	ReasonKeeperSilent     Reason = "keeper-silent"     // RateUnavailable
+	ReasonSuspended        Reason = "suspended"         // RateUnavailable: see Limits
 )
 
 // Decision is the answer to one request.
--- a/internal/process/ratelimit/limits.go
+++ b/internal/process/ratelimit/limits.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// Suspended returns how long a workspace is still suspended, 0 if it is not.
+func (l *Limits) Suspended(now time.Time, workspace string) time.Duration {
+	return max(l.seen[workspace].until.Sub(now), 0)
+}
+
 // InForce returns the workspaces with the limits to apply now, and the time of
 // the next change without an edit, or zero. A suspended workspace has no rate.
 func (l *Limits) InForce(now time.Time) (workspaces []tables.Workspace, next time.Time) {
