Run the fleet under three faults at once, as halves, and with edited rates

Cause: docs/PROOF.md listed as not proved edits of a rate during faults, halves of the fleet cut from each other, and more than two faults at once.

Change: "an edit of a rate during a fault" lowers and raises the limits 1 s after each of 15 faults; the lowered limits bound every interval from 8 s after the edit on. "several faults" chooses three kinds of faults with their hosts and times by 16 fixed seeds, and cuts two hosts from the other three with the platform in reach of both halves, one or none (15 cells). It checks promises 1, 4, 5, 6 and 7 under load, and 10 during and after the faults.

The virtual clock cannot differ per daemon: all goroutines of a synctest bubble read one clock, and the daemon reads it by time.Now.

--- /dev/null
+++ b/internal/process/daemon/invariants_test.go
@@ -0,0 +1,237 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
+)
+
+// Times of the runs with several faults.
+const (
+	faultsWithin  = 2 * time.Second  // all faults of a run begin in this time
+	faultsLast    = 12 * time.Second // beyond a lease, suspicion and a lame duck
+	callerGap     = 50 * time.Millisecond
+	outcomesFinal = 7 * time.Second // beyond the time of a request
+)
+
+// ratedWorkspace is the workspace of the rate load. The callers of the runs use
+// another one, since refusals for rate would hide other outcomes.
+const ratedWorkspace = "rated"
+
+// hostFaults makes the faults that a run chooses from, for a host.
+var hostFaults = []func(host int) controlFault{
+	func(h int) controlFault {
+		return controlFault{name: fmt.Sprintf("daemon %d killed and restarted", h), inject: func(f *fleet) { f.hosts[h].kill(); f.hosts[h].start() }}
+	},
+	func(h int) controlFault {
+		return controlFault{name: fmt.Sprintf("daemon %d killed for a time", h), inject: func(f *fleet) { f.hosts[h].kill() }, heal: func(f *fleet) {
+			if f.hosts[h].running() == nil {
+				f.hosts[h].start()
+			}
+		}}
+	},
+	func(h int) controlFault { return isolatedHost("links cut both ways", h, true, true, false) },
+	func(h int) controlFault { return isolatedHost("links cut inwards", h, true, false, false) },
+	func(h int) controlFault { return isolatedHost("links cut outwards", h, false, true, false) },
+	func(h int) controlFault { return isolatedHost("log cut", h, false, false, true) },
+	func(h int) controlFault { return isolatedHost("cut off from all", h, true, true, true) },
+	func(h int) controlFault { return halves(h, "one half without the log", 1) },
+	func(h int) controlFault { return halves(h, "both halves with the log", 0) },
+	func(int) controlFault { return allSilent },
+	func(int) controlFault { return down },
+	func(int) controlFault {
+		return controlFault{name: slow.name, inject: slow.inject, heal: func(f *fleet) { f.log.setDelay(0) }}
+	},
+	func(int) controlFault {
+		return controlFault{name: appendsLost.name, inject: appendsLost.inject, heal: func(f *fleet) { f.log.setLoseAnswers(false) }}
+	},
+	func(h int) controlFault {
+		return controlFault{name: fmt.Sprintf("upstream %d slow", h), inject: func(f *fleet) { f.hosts[h].server.setService(time.Second) }}
+	},
+}
+
+func isolatedHost(name string, host int, in, out, log bool) controlFault {
+	return controlFault{name: fmt.Sprintf("daemon %d: %s", host, name),
+		inject: func(f *fleet) { f.isolate(host, in, out, log, true) },
+		heal:   func(f *fleet) { f.isolate(host, in, out, log, false) }}
+}
+
+// halves cuts two hosts from the three others. The platform cannot be reached
+// from the given number of halves.
+func halves(host int, name string, without int) controlFault {
+	side := []int{host, (host + 1) % len(controlFleet)}
+	cutLogs := func(f *fleet, cut bool) {
+		for i, h := range f.hosts {
+			if without == 2 || without == 1 && slices.Contains(side, i) {
+				h.log.cut.Store(cut)
+			}
+		}
+	}
+	return controlFault{name: fmt.Sprintf("hosts %v cut from the others, %s", side, name),
+		inject: func(f *fleet) { f.split(side, true); cutLogs(f, true) },
+		heal:   func(f *fleet) { f.split(side, false); cutLogs(f, false) }}
+}
+
+// timedFault is a fault with the time from the beginning of its run.
+type timedFault struct {
+	controlFault
+	at time.Duration
+}
+
+// threeFaults chooses three different kinds of faults, their hosts and times.
+func threeFaults(seed uint64) []timedFault {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var faults []timedFault
+	for _, kind := range rng.Perm(len(hostFaults))[:3] {
+		fault := hostFaults[kind](rng.IntN(len(controlFleet)))
+		faults = append(faults, timedFault{fault, time.Duration(rng.Int64N(int64(faultsWithin)))})
+	}
+	slices.SortFunc(faults, func(a, b timedFault) int { return int(a.at - b.at) })
+	return faults
+}
+
+// outcome is what the caller of one request of a run got.
+type outcome struct {
+	body    string
+	ordered bool
+	answers []answer
+}
+
+// callers sends requests and orders until ctx ends. Each order is repeated at
+// another host with its ticket.
+func (f *fleet) callers(ctx context.Context, seed uint64) func() []outcome {
+	var mu sync.Mutex
+	var outcomes []outcome
+	var wg sync.WaitGroup
+	rng := rand.New(rand.NewPCG(seed, 4))
+	wg.Go(func() {
+		for n := 0; pause(ctx, callerGap); n++ {
+			first, second := f.hosts[rng.IntN(len(f.hosts))], f.hosts[rng.IntN(len(f.hosts))]
+			wg.Go(func() {
+				o := f.call(first, second, n)
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes = append(outcomes, o)
+			})
+		}
+	})
+	return func() []outcome { wg.Wait(); return outcomes }
+}
+
+// call sends a request, or an order and its repetition.
+func (f *fleet) call(first, second *host, n int) outcome {
+	q := request{path: "/shop", key: testKey, body: fmt.Sprintf("call %d", n)}
+	if n%2 == 0 {
+		return outcome{body: q.body, answers: []answer{f.ask(first, q)}}
+	}
+	q.path, q.ticket = "/shop-order", ticketOf(f.ask(first, request{path: caller.TicketPath, key: testKey}))
+	if q.ticket == "" {
+		return outcome{body: q.body, ordered: true}
+	}
+	return outcome{body: q.body, ordered: true, answers: []answer{f.ask(first, q), f.ask(second, q)}}
+}
+
+// checkOutcomes checks promises 1 and 5 to 7 when nothing runs any more.
+func checkOutcomes(f *fleet, g *WithT, outcomes []outcome, what string) {
+	served := 0
+	for _, o := range outcomes {
+		most := 3 // 1 + 2 credits
+		if o.ordered {
+			most = 1
+		}
+		g.Expect(f.runs(o.body)).To(BeNumerically("<=", most), "%s: %+v", what, o)
+		for _, a := range o.answers {
+			switch {
+			case a.err != nil:
+			case a.status == 200:
+				served++
+				g.Expect(a.body).To(HaveSuffix(" fair "+o.body), what)
+				g.Expect(f.runs(o.body)).To(BeNumerically(">=", 1), "%s: %+v", what, o)
+			case a.executed == problem.ExecutedNo:
+				g.Expect(f.runs(o.body)).To(BeZero(), "%s: %+v", what, o)
+			}
+		}
+	}
+	g.Expect(served).To(BeNumerically(">", len(outcomes)/10), what)
+}
+
+// faultsRun injects the faults of a run under load, heals them, and checks the
+// promises that hold at every moment; then an edit has to be in force in time.
+func faultsRun(f *fleet, g *WithT, faults []timedFault, seed uint64) {
+	what := fmt.Sprintf("seed %d:", seed)
+	for _, fault := range faults {
+		what += fmt.Sprintf(" %s at %s;", fault.name, fault.at)
+	}
+	f.publish(f.withRate(testRate))
+	time.Sleep(5 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.watchVersions(ctx)
+	load := newRateLoad(f, seed)
+	load.takes.workspace = ratedWorkspace
+	load.wg.Go(func() { load.pulses(ctx) })
+	outcomes := f.callers(ctx, seed)
+	time.Sleep(2 * time.Second)
+	begun := time.Now()
+	for _, fault := range faults {
+		until(begun, fault.at)
+		fault.inject(f)
+	}
+	until(begun, faultsLast)
+	for _, fault := range faults {
+		if fault.heal != nil {
+			fault.heal(f)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	f.publish(f.withRate(testRate / 2))
+	inForce(f, g, f.hosts, time.Now(), what)
+	cancel()
+	load.wg.Wait()
+	calls := outcomes()
+	time.Sleep(outcomesFinal)
+	g.Expect(load.takes.excess(testRate, testBurst)).To(BeNumerically("<=", 0), what)
+	checkOutcomes(f, g, calls, what)
+}
+
+// withRate returns the tables with another rate of the rated workspace.
+func (f *fleet) withRate(rate float64) *tables.Tables {
+	rated := tables.Workspace{Name: ratedWorkspace, Rate: rate, Burst: testBurst}
+	next, err := f.tables.Apply([]tables.Change{{Workspace: &rated}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return next
+}
+
+// threeFaultSeeds is the number of runs with three faults.
+const threeFaultSeeds = 16
+
+var _ = Describe("several faults", func() {
+	// Guards against promises that hold under each fault alone and not under
+	// three that overlap. The seeds fix the faults and their times.
+	It("keep the promises with three faults at once", func() {
+		inFleets(controlFleet, threeFaultSeeds, func(cell int, f *fleet, g *WithT) {
+			faultsRun(f, g, threeFaults(uint64(cell+1)), uint64(cell+1))
+		})
+	})
+
+	// Guards against two halves that both act as the whole fleet.
+	It("keep the promises while halves of the fleet are cut from each other", func() {
+		names := []string{"the platform in reach of both", "the platform in reach of one", "the platform in reach of none"}
+		inFleets(controlFleet, len(names)*len(controlFleet), func(cell int, f *fleet, g *WithT) {
+			without, host := cell/len(controlFleet), cell%len(controlFleet)
+			faultsRun(f, g, []timedFault{{controlFault: halves(host, names[without], without)}}, uint64(cell+1))
+		})
+	})
+})
--- /dev/null
+++ b/internal/process/daemon/limit_edit_test.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Limits of a workspace before or after an edit, and the times of the runs.
+const (
+	highRate, highBurst = 80, 40
+	lowRate, lowBurst   = highRate / 4, highBurst / 4
+	editInForce         = 8 * time.Second
+	editedTime          = 25 * time.Second
+)
+
+// limitFaults are the rate faults during which the platform accepts an edit.
+var limitFaults = append(append([]controlFault{}, rateFaults[:11]...),
+	slow, appendsLost, conflict, isolated("a daemon cut off from all", true, true, true))
+
+// since returns the admissions from a time on.
+func (t *takes) since(from time.Time) *takes {
+	later := &takes{}
+	for _, at := range t.admitted {
+		if !at.Before(from) {
+			later.admitted = append(later.admitted, at)
+		}
+	}
+	return later
+}
+
+// limitEdit edits the limits 1 s after a fault. It returns the admissions and
+// when the edit was accepted.
+func limitEdit(f *fleet, fault controlFault, seed uint64, from, to [2]int) (*takes, time.Time) {
+	f.publish(f.testTables(controlFleet, from[0], from[1]))
+	time.Sleep(5 * time.Second)
+	load := newRateLoad(f, seed)
+	ctx, cancel := context.WithCancel(context.Background())
+	load.wg.Go(func() { load.steady(ctx, 2*highRate) })
+	time.Sleep(3 * time.Second)
+	fault.inject(f)
+	time.Sleep(time.Second)
+	f.publish(f.testTables(controlFleet, to[0], to[1]))
+	accepted := time.Now()
+	time.Sleep(editedTime)
+	if fault.heal != nil {
+		fault.heal(f)
+		time.Sleep(10 * time.Second)
+	}
+	cancel()
+	load.wg.Wait()
+	return load.takes, accepted
+}
+
+var _ = Describe("an edit of a rate during a fault", func() {
+	high, low := [2]int{highRate, highBurst}, [2]int{lowRate, lowBurst}
+
+	// Guards against a keeper or a holder that goes on with the old limits after
+	// the time in which an edit has to be in force.
+	It("lowers what is admitted within 8 s", func() {
+		inFleets(controlFleet, len(limitFaults), func(cell int, f *fleet, g *WithT) {
+			name := limitFaults[cell].name
+			t, accepted := limitEdit(f, limitFaults[cell], uint64(cell+1), high, low)
+			later := t.since(accepted.Add(editInForce))
+			fmt.Printf("limits: lowered, %s: %d admitted after 8 s\n", name, len(later.admitted))
+			g.Expect(t.excess(highRate, highBurst)).To(BeNumerically("<=", 0), name)
+			g.Expect(later.excess(lowRate, lowBurst)).To(BeNumerically("<=", 0), name)
+		})
+	})
+
+	// Guards against tokens of the new limits before the edit, and against a
+	// workspace that is kept at its old rate.
+	It("raises what is admitted within 8 s", func() {
+		inFleets(controlFleet, len(limitFaults), func(cell int, f *fleet, g *WithT) {
+			name := limitFaults[cell].name
+			t, accepted := limitEdit(f, limitFaults[cell], uint64(cell+1), low, high)
+			later := t.since(accepted.Add(editInForce))
+			fmt.Printf("limits: raised, %s: %d admitted after 8 s\n", name, len(later.admitted))
+			g.Expect(t.excess(highRate, highBurst)).To(BeNumerically("<=", 0), name)
+			before := &takes{}
+			for _, at := range t.admitted {
+				if at.Before(accepted) {
+					before.admitted = append(before.admitted, at)
+				}
+			}
+			g.Expect(before.excess(lowRate, lowBurst)).To(BeNumerically("<=", 0), name)
+			perSecond := float64(len(later.admitted)) / (editedTime - editInForce).Seconds()
+			g.Expect(perSecond).To(BeNumerically(">", lowRate), name)
+		})
+	})
+})
--- a/internal/process/daemon/rate_test.go
+++ b/internal/process/daemon/rate_test.go
@@ -36,6 +36,8 @@
 
 // takes collects the outcomes of many callers. Its lock guards all fields.
 type takes struct {
+	workspace string
+
 	mu       sync.Mutex
 	admitted []time.Time
 	sent     int
@@ -45,7 +47,7 @@
 // take asks a daemon for a token, as its caller port does. In virtual time the
 // time after an admission is exactly that of the admission.
 func (t *takes) take(d *Daemon) {
-	refusal := d.rates.take(context.Background(), "rate test", "fair")
+	refusal := d.rates.take(context.Background(), "rate test", t.workspace)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sent++
@@ -81,7 +83,7 @@
 }
 
 func newRateLoad(f *fleet, seed uint64) *rateLoad {
-	return &rateLoad{fleet: f, takes: &takes{refused: map[problem.Kind]int{}}, rng: rand.New(rand.NewPCG(seed, 1))}
+	return &rateLoad{fleet: f, takes: &takes{workspace: "fair", refused: map[problem.Kind]int{}}, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // ask sends one request to a random daemon.
