Prove at fleet level that truncated and late answers are handled

The fleet's fake backend server returns whole answers, so that the checks of the backend client were never met.

Change: "answers that are truncated count as failed" runs the product's backend client over in-memory connections against five kinds of broken answers, for requests and orders; "answers that come late and in reverse order reach their own requests" silences the link at 17 moments while four requests run. backend.NewClientWithDial lets the tests give the connections; NewClient works as before. No fault was found.

The first form of the truncated spec broke the upstream of the other zone, which got no request; its check that the broken server was used showed it.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -79,10 +79,15 @@
 // takes response bodies of up to maxBody bytes.
 func NewClient(connections int, maxBody int64) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
+	return NewClientWithDial(connections, maxBody, dialer.DialContext)
+}
+
+// NewClientWithDial is NewClient with another way to open connections.
+func NewClientWithDial(connections int, maxBody int64, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	return &Client{
 		maxBody: maxBody,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConns:        connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
