Judge the service time by more requests before lowering the limit

Cause: the limiter took a server with 8 slots and 40 ms of service time (exponentially distributed) for a slow one: the least mean of windows of 60 to 100 requests is low by chance, and the next window was 1.5 times above it. The trial of a lower limit was then kept by chance too, since it could end as soon as 40 requests looked well.

Change: the mean that starts a trial, and the least mean, are smoothed over 250 successes; a lower limit is kept only at the end of the trial's window.

--- a/internal/request/admission/limiter.go
+++ b/internal/request/admission/limiter.go
@@ -14,6 +14,10 @@
 	// started before it.
 	maxSettle = 300 * time.Millisecond
 
+	// meanSamples is how many successes the smoothed mean service time covers.
+	// The means of single windows of 60 to 100 requests differ by chance so much
+	// that a server with few slots was taken for a slow one.
+	meanSamples = 250
 	// tolerance is the ratio of recent to least mean service time, and
 	// maxShedShare the share of the server's own refusals, above which a lower
 	// limit is tried.
@@ -156,7 +160,8 @@
 	slots    int
 	limit    float64
 	inFlight int
-	base     time.Duration // least mean service time
+	mean     time.Duration // smoothed mean service time
+	base     time.Duration // least smoothed mean service time
 	held     time.Duration // mean service time when the limit was last kept low
 	lowered  cause         // why the limit is below the slots
 
@@ -252,7 +257,7 @@
 		l.judge(now, s, whole || shedding)
 		return
 	}
-	l.updateBase(s.mean, elapsed)
+	l.updateBase(s.mean, l.window.successes, elapsed)
 	if s.saturated && s.mean > l.held {
 		l.held = s.mean
 	}
@@ -268,13 +273,18 @@
 	return l.window.shed >= maxSheds || (raised && l.window.shed >= maxTrialSheds)
 }
 
-// updateBase follows the least mean service time.
-func (l *limiter) updateBase(mean, elapsed time.Duration) {
+// updateBase follows the mean service time of a window of n successes, and
+// the least one.
+func (l *limiter) updateBase(mean time.Duration, n int, elapsed time.Duration) {
 	if mean <= 0 {
 		return
 	}
-	if l.base == 0 || mean < l.base {
-		l.base = mean
+	if l.mean == 0 {
+		l.mean = mean
+	}
+	l.mean += time.Duration(min(float64(n)/meanSamples, 1) * float64(mean-l.mean))
+	if l.base == 0 || l.mean < l.base {
+		l.base = l.mean
 		return
 	}
 	l.base += time.Duration(float64(l.base) * baseDrift * elapsed.Seconds())
@@ -282,7 +292,7 @@
 
 // choose starts a trial if there is a cause for one.
 func (l *limiter) choose(now time.Time, s sample) {
-	slow := s.mean > time.Duration(tolerance*float64(l.base))
+	slow := l.mean > time.Duration(tolerance*float64(l.base))
 	switch {
 	case l.lowered == causeShed && s.shedShare > maxShedShare && !s.loaded:
 		// The lower limit does not help any more.
@@ -356,7 +366,7 @@
 		helped = s.shedShare <= shedHalved*t.before.shedShare
 	default:
 		helped = ratio >= lowerKeep
-		clear = ratio < lowerClear || ratio >= 1
+		clear = ratio < lowerClear
 		if !s.saturated && !helped {
 			// Too few requests came to tell; meanwhile the limit costs nothing.
 			if whole {
