Compare the goodput and the demand of the same requests in the experiment

Cause: the fair shares of "the experiment" compared the requests first sent during the trigger with the answers that came during it. Requests sent before the trigger counted as goodput without a demand, and those still on their way at its end as demand without goodput.

Change: goodput and demand both count the requests that were first sent in the trigger, up to 1 s before its end (their deadline), at whatever try and time they were answered. The bounds are the same.

--- a/internal/request/admission/experiment_test.go
+++ b/internal/request/admission/experiment_test.go
@@ -33,6 +33,10 @@
 
 func triggered(at time.Duration) bool { return at >= simFrom && at < simTo }
 
+// judged tells whether a request that is first sent at a time counts for the
+// fair shares: its first try ends while the trigger lasts.
+func judged(at time.Duration) bool { return triggered(at) && triggered(at+time.Second) }
+
 type event struct {
 	at time.Duration
 	do func()
@@ -81,8 +85,8 @@
 	end      []func(ok bool)
 
 	good    []float64     // answers in time, per simStep
-	goodOf  [8][8]float64 // by workspace and importance, during the trigger
-	firstOf [8][8]float64 // first attempts, likewise
+	firstOf [8][8]float64 // requests that judged counts, by workspace and importance
+	goodOf  [8][8]float64 // of these, the ones answered in time at any try
 	used    [2]float64    // server time in vain and of use, during the trigger
 }
 
@@ -106,26 +110,27 @@
 	}
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		importance := s.rng.IntN(s.importances)
-		if triggered(s.now) {
+		counted := judged(s.now)
+		if counted {
 			s.firstOf[w][importance]++
 		}
-		s.call(w, importance, s.retries)
+		s.call(w, importance, s.retries, counted)
 		s.arrive(w)
 	})
 }
 
 // call is a request of a caller, at the asker.
-func (s *sim) call(w, importance, retries int) {
+func (s *sim) call(w, importance, retries int, counted bool) {
 	r := request(len(s.requests), fmt.Sprint(w), uint8(importance))
 	r.RootHash, r.Deadline = uint8(s.rng.IntN(256)), s.time().Add(cmp.Or(s.timeout, time.Second))
 	end := func(ok bool) {
 		if ok && !s.time().After(r.Deadline) {
 			s.good[s.now/simStep]++
-			if triggered(s.now) {
+			if counted {
 				s.goodOf[w][importance]++
 			}
 		} else if retries > 0 {
-			s.after(simBackOff, func() { s.call(w, importance, retries-1) })
+			s.after(simBackOff, func() { s.call(w, importance, retries-1, counted) })
 		}
 	}
 	if !s.hints.Allows(s.time(), "server", r.Workspace, r.Importance, r.RootHash) {
