Append the hand-over claim before the keeper stops and sends its state

Cause: a keeper that stopped handed its state over first and appended the claim afterwards, so that nobody granted until the append had taken effect and all had read it: 1 to 2 s with 500 ms per call of the platform.

Change: the keeper appends the claim and grants until it reads it back. Then it stops and sends its state with the claim and its offset. The new keeper starts when it has the state, also if it has not read the claim itself: its right counts from reads that did not show a later claim, so it ends before a later keeper starts. Without the state it waits until the old right and all grants have ended (8.4 s), since the old keeper may not have read the claim. A keeper that does not grant says so in its claim (field Stopped). Holders ask the old keeper until it says that the new one has the state (GoAway and GrantReply name keepers with their epochs), since they read the claim up to 1 s before or after the keepers do.

Ruled out: a successor that grants from a handed-over state while the platform is down. Any member that proves the old keeper's death may claim as soon as the platform is back, and does not know of the hand-over. The keeper goes on granting until its process ends, as before.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -204,6 +204,8 @@
 	Group   uint32       `cbor:"2,keyasint"`
 	Refused string       `cbor:"3,keyasint,omitempty"` // reason, if this daemon is not the keeper
 	Entries []GrantEntry `cbor:"4,keyasint,omitempty"`
+	// Keepers names the keeper that this daemon knows, if it is not the keeper.
+	Keepers []GroupKeeper `cbor:"5,keyasint,omitempty"`
 }
 
 // ConsentRequest asks the successor of rate groups for consent to go on granting.
@@ -246,16 +248,20 @@
 	Keepers  []GroupKeeper `cbor:"3,keyasint,omitempty"`
 }
 
-// GroupKeeper names the keeper of a rate group.
+// GroupKeeper names the keeper of a rate group. Of two, the one with the greater
+// epoch is the later one.
 type GroupKeeper struct {
 	Group       uint32 `cbor:"1,keyasint"`
 	Member      string `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint"`
+	Epoch       uint64 `cbor:"4,keyasint,omitempty"` // of its claim
 }
 
-// GoAway says that the sender takes no new attempts.
+// GoAway says that the sender takes no new attempts, or that the rate groups in
+// Keepers have other keepers from now on.
 type GoAway struct {
-	Reason string `cbor:"1,keyasint,omitempty"`
+	Reason  string        `cbor:"1,keyasint,omitempty"`
+	Keepers []GroupKeeper `cbor:"2,keyasint,omitempty"`
 }
 
 // Type implements Message.
--- a/internal/process/daemon/groups.go
+++ b/internal/process/daemon/groups.go
@@ -28,7 +28,7 @@
 )
 
 // groups is this daemon as a keeper of rate groups. Its lock guards claims,
-// keepers, received, workspaces and hints.
+// keepers, received and workspaces.
 type groups struct {
 	self     ratelimit.DaemonID
 	members  *members
@@ -42,14 +42,10 @@
 	mu      sync.Mutex
 	claims  *ratelimit.Claims
 	keepers map[uint32]*ratelimit.Keeper
-	// received holds the states that stopping keepers handed over, until their
-	// claims are in the log.
+	// received holds the states that stopping keepers handed over, until this
+	// daemon starts to grant.
 	received   map[uint32][]byte
 	workspaces []tables.Workspace
-	// hints are the keepers that a peer named. They count only for groups of
-	// which no claim was read, which is so after a start during an outage of the
-	// platform. A wrong hint does no harm, since only a keeper with the right grants.
-	hints map[uint32]ratelimit.DaemonID
 }
 
 func newGroups(self ratelimit.Member, members *members, log platform.Log, cfg Config, rng *rand.Rand) *groups {
@@ -62,19 +58,14 @@
 		claims:   ratelimit.NewClaims(self, cfg.RateGroups, cfg.Retention, rng),
 		keepers:  make(map[uint32]*ratelimit.Keeper),
 		received: make(map[uint32][]byte),
-		hints:    make(map[uint32]ratelimit.DaemonID),
 	}
 }
 
-// keeperOf returns the keeper of a group.
+// keeperOf returns the keeper of a group that holders should ask.
 func (g *groups) keeperOf(group uint32) (ratelimit.DaemonID, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if claim, ok := g.claims.Keeper(group); ok {
-		return claim.Keeper, true
-	}
-	keeper, ok := g.hints[group]
-	return keeper, ok
+	return g.claims.Asked(time.Now(), group)
 }
 
 // awaitMembers waits, for a limited time, until this daemon has learned who is
@@ -108,20 +99,25 @@
 	var known []wire.GroupKeeper
 	for group := range g.count {
 		if claim, ok := g.claims.Keeper(group); ok {
-			known = append(known, wire.GroupKeeper{Group: group, Member: claim.Keeper.Member, Incarnation: claim.Keeper.Incarnation})
+			known = append(known, groupKeeper(claim))
 		}
 	}
 	return known
 }
 
+// groupKeeper names the keeper of a claim.
+func groupKeeper(claim ratelimit.Claim) wire.GroupKeeper {
+	return wire.GroupKeeper{
+		Group: claim.Group, Member: claim.Keeper.Member, Incarnation: claim.Keeper.Incarnation, Epoch: claim.Epoch,
+	}
+}
+
 // hint takes the keepers that a peer named.
 func (g *groups) hint(keepers []wire.GroupKeeper) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, k := range keepers {
-		if k.Group < g.count {
-			g.hints[k.Group] = ratelimit.DaemonID{Member: k.Member, Incarnation: k.Incarnation}
-		}
+		g.claims.Hint(k.Group, ratelimit.DaemonID{Member: k.Member, Incarnation: k.Incarnation}, k.Epoch)
 	}
 }
 
@@ -131,7 +127,14 @@
 	defer g.mu.Unlock()
 	keeper, ok := g.keepers[request.Group]
 	if !ok {
-		return wire.GrantReply{Number: request.Number, Group: request.Group, Refused: string(ratelimit.GrantNotKeeper)}
+		reply := wire.GrantReply{Number: request.Number, Group: request.Group, Refused: string(ratelimit.GrantNotKeeper)}
+		if request.Group < g.count {
+			// A holder may not have read the claim of the new keeper yet.
+			if claim, ok := g.claims.Keeper(request.Group); ok && claim.Keeper != g.self {
+				reply.Keepers = []wire.GroupKeeper{groupKeeper(claim)}
+			}
+		}
+		return reply
 	}
 	reply, _ := keeper.Grant(now, g.claims.Right(request.Group), holder, request)
 	return reply
@@ -314,16 +317,20 @@
 	})
 }
 
-// groupState is the content of a wire.Handover of a rate group.
+// groupState is the content of a wire.Handover of a rate group: the state of the
+// old keeper and the claim that names the new one.
 type groupState struct {
-	Group uint32 `cbor:"1,keyasint"`
-	State []byte `cbor:"2,keyasint"`
+	State  []byte          `cbor:"2,keyasint"`
+	Claim  []byte          `cbor:"3,keyasint"`
+	Offset platform.Offset `cbor:"4,keyasint"`
 }
 
-// handOver ends the keeper of a group and sends its state to the successor.
+// handOver ends the keeper of a group, sends its state to the new one and tells
+// the peers whom to ask.
 func (g *groups) handOver(a *ratelimit.HandOver) {
+	group, to := a.Claim.Group, a.Claim.Keeper
 	g.mu.Lock()
-	keeper, ok := g.keepers[a.Group]
+	keeper, ok := g.keepers[group]
 	var state []byte
 	err := errHandoverRefused
 	if ok {
@@ -331,33 +338,54 @@
 	}
 	g.mu.Unlock()
 	if err == nil {
-		var data []byte
-		if data, err = cbor.Marshal(groupState{Group: a.Group, State: state}); err == nil {
-			err = g.handover.sendPart(context.Background(), a.To.Member, handoverGroups, data, false)
-		}
+		err = g.sendState(state, a)
+	}
+	logging.Event("rates", "group-handed-over", "group", group, "to", to.Member, "reason", string(a.Reason), "error", errorText(err))
+	if err == nil {
+		g.members.hub.Broadcast(wire.GoAway{Reason: "rate group handed over", Keepers: []wire.GroupKeeper{groupKeeper(a.Claim)}})
 	}
-	logging.Event("rates", "group-handed-over", "group", a.Group, "to", a.To.Member, "reason", string(a.Reason), "error", errorText(err))
-	g.step(func(now time.Time) []ratelimit.Action { return g.claims.HandedOver(now, a.Group, err == nil) })
+	g.step(func(now time.Time) []ratelimit.Action { return g.claims.HandedOver(now, a.Claim, err == nil) })
 }
 
-// takeOver stores the state of a group that another keeper handed over.
-func (g *groups) takeOver(from ratelimit.DaemonID, data []byte) error {
+// sendState sends the state of a group to the keeper that the claim names.
+func (g *groups) sendState(state []byte, a *ratelimit.HandOver) error {
+	claim, err := ratelimit.EncodeClaim(a.Claim)
+	if err != nil {
+		return err
+	}
+	data, err := cbor.Marshal(groupState{State: state, Claim: claim, Offset: a.Offset})
+	if err != nil {
+		return err
+	}
+	return g.handover.sendPart(context.Background(), a.Claim.Keeper.Member, handoverGroups, data, false)
+}
+
+// takeOver takes the state of a group that the keeper before handed over.
+func (g *groups) takeOver(data []byte) error {
 	var handed groupState
 	if err := cbor.Unmarshal(data, &handed); err != nil {
 		return err
 	}
-	if handed.Group >= g.count {
-		return errHandoverRefused
+	claim, err := ratelimit.DecodeClaim(handed.Claim, g.count)
+	if err != nil {
+		return err
 	}
-	g.mu.Lock()
-	g.received[handed.Group] = handed.State
-	g.mu.Unlock()
-	g.step(func(now time.Time) []ratelimit.Action { return g.claims.StateReceived(now, handed.Group, from) })
-	return nil
+	g.step(func(now time.Time) []ratelimit.Action {
+		actions, taken := g.claims.StateReceived(now, handed.Offset, claim)
+		if taken {
+			g.received[claim.Group] = handed.State
+		} else {
+			err = errHandoverRefused
+		}
+		return actions
+	})
+	return err
 }
 
 // leave hands all groups over, for a planned stop. If nobody takes them or the
-// platform is down, they end with this daemon.
+// platform is down, they end with this daemon, which grants until then. Nobody
+// may grant without a claim on the log, since other members may claim a group as
+// soon as they see that its keeper is dead.
 func (g *groups) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, giveUpTimeout)
 	defer cancel()
--- a/internal/process/daemon/handover.go
+++ b/internal/process/daemon/handover.go
@@ -107,7 +107,7 @@
 	case handoverTickets:
 		err = h.tickets.take(m.Data, m.More)
 	case handoverGroups:
-		err = h.groups.takeOver(daemonOf(link), m.Data)
+		err = h.groups.takeOver(m.Data)
 	default:
 		err = errHandoverRefused
 	}
--- a/internal/process/daemon/links.go
+++ b/internal/process/daemon/links.go
@@ -71,6 +71,7 @@
 	case *wire.GrantRequest:
 		l.rates.onGrantRequest(link, m)
 	case *wire.GrantReply:
+		l.groups.hint(m.Keepers)
 		l.rates.apply(m)
 	case *wire.ConsentRequest:
 		l.groups.onConsentRequest(link, m)
@@ -86,6 +87,7 @@
 		l.groups.hint(m.Keepers)
 		l.configuration.onTablesReply(m)
 	case *wire.GoAway:
+		l.groups.hint(m.Keepers)
 		logging.Event("links", "peer-leaving", "peer", from.Member, "reason", m.Reason)
 	}
 }
--- a/internal/process/ratelimit/claims.go
+++ b/internal/process/ratelimit/claims.go
@@ -114,10 +114,11 @@
 }
 
 // HandOver asks to end the group's Keeper with Keeper.HandOver, to send its
-// state to a member and to call HandedOver with the outcome.
+// state to the new keeper, with the claim that names it and the claim's offset,
+// and to call HandedOver with the outcome.
 type HandOver struct {
-	Group  uint32
-	To     DaemonID
+	Claim  Claim
+	Offset platform.Offset
 	Reason ClaimReason
 }
 
@@ -134,7 +135,6 @@
 	address string
 	endsAt  time.Time
 	long    bool // it may go on by the consent of a successor that we do not know to have stopped
-	handed  bool // it stopped before its claim; its state may arrive
 }
 
 // claimState is the state of one group.
@@ -160,15 +160,18 @@
 	consented    time.Time
 	successorOK  time.Time // when the successor was last seen alive
 	refreshAfter time.Duration
-	stopping     bool // planned stop: the state is being handed over
-	handed       bool // a member confirmed that it has the state
-	handTo       DaemonID
-	refusedBy    []DaemonID
+
+	// As the keeper before, whose state goes to the keeper of the claim.
+	handing bool
+	sendAt  time.Time // when to send the state again; zero while it is being sent
 
 	// As successor or other daemon.
 	askedByKeeper time.Time
 	missingSince  time.Time // zero if the keeper is alive
-	stateFrom     DaemonID  // keeper whose state has been received
+
+	// As the new keeper: the state that the keeper before handed over has been
+	// received.
+	received bool
 }
 
 // Claims follows the keepers stream and decides which groups this daemon
@@ -188,6 +191,8 @@
 	probed   map[DaemonID]time.Time
 	leaving  bool
 
+	hints []hint // by group
+
 	number  uint64
 	asks    map[uint64]consentAsk
 	askedAt time.Time
@@ -199,6 +204,7 @@
 	return &Claims{
 		self: self, retention: retention, rng: rng,
 		states:  make([]claimState, groups),
+		hints:   make([]hint, groups),
 		members: []Member{self},
 		dead:    map[DaemonID]time.Time{},
 		probed:  map[DaemonID]time.Time{},
@@ -216,12 +222,12 @@
 	return g.claim, g.known
 }
 
-// Kept returns how many groups this daemon keeps. A daemon that stops closes
-// its listener only when there are none.
+// Kept returns how many groups this daemon keeps or is handing over. A daemon
+// that stops closes its listener only when there are none.
 func (c *Claims) Kept() int {
 	n := 0
 	for i := range c.states {
-		if c.mine(&c.states[i]) {
+		if c.mine(&c.states[i]) || c.states[i].handing {
 			n++
 		}
 	}
@@ -320,12 +326,12 @@
 	return actions
 }
 
-// stop ends granting.
+// stop ends granting, or the hand-over of the state.
 func (c *Claims) stop(g *claimState, reason ClaimReason) []Action {
-	if !g.granting {
+	if !g.granting && !g.handing {
 		return nil
 	}
-	g.granting = false
+	g.granting, g.handing = false, false
 	return []Action{&StopGranting{Group: g.claim.Group, Reason: reason}}
 }
 
@@ -337,8 +343,11 @@
 	}
 	var actions []Action
 	same := g.known && claim.Keeper == g.claim.Keeper
+	handing := c.beginsHandover(g, claim)
 	if !same {
-		actions = c.stop(g, ClaimSuperseded)
+		if !handing {
+			actions = c.stop(g, ClaimSuperseded)
+		}
 		if g.known {
 			c.supersede(now, g, claim)
 		} else if !c.fromZero && len(g.before) == 0 {
@@ -351,12 +360,16 @@
 	}
 	next := claimState{
 		known: true, claim: claim, offset: offset, readAt: now, epoch: claim.Epoch, before: g.before,
-		successorOK: now, askedByKeeper: now, stateFrom: g.stateFrom,
+		successorOK: now, askedByKeeper: now,
 		refreshAfter: time.Duration((0.3 + 0.15*c.rng.Float64()) * float64(c.retention)),
 	}
+	if handing {
+		next.handing = true
+		actions = append(actions, &HandOver{Claim: claim, Offset: offset, Reason: ClaimPlannedStop})
+	}
 	if same {
-		next.granting, next.stopping, next.handed = g.granting, g.stopping, g.handed
-		next.handTo, next.refusedBy = g.handTo, g.refusedBy
+		next.granting, next.received = g.granting, g.received
+		next.handing, next.sendAt = g.handing, g.sendAt
 		if claim.Successor == g.claim.Successor {
 			next.consented, next.successorOK = g.consented, g.successorOK
 		}
@@ -380,15 +393,15 @@
 func (c *Claims) supersede(now time.Time, g *claimState, by Claim) {
 	id := g.claim.Keeper
 	follows := by.Previous == id
-	p := newPredecessor(now, !follows || by.Keeper != g.claim.Successor)
+	// A keeper that hands over takes no consent that it asked for after its
+	// append, so that its successor need not know of the claim.
+	settled := by.Kind == ClaimHandover || by.Keeper == g.claim.Successor
+	p := newPredecessor(now, !follows || !settled)
 	p.id, p.address = id, g.claim.Address
 	if died, dead := c.dead[id]; dead {
 		p.end(died.Add(keeperGrantTime))
 	}
-	if follows && by.Kind == ClaimHandover {
-		p.handed = true
-	}
-	if id == c.self.ID || (follows && (by.Proven || by.Kind == ClaimHandover)) {
+	if id == c.self.ID || (follows && (by.Proven || by.Stopped)) {
 		p.end(now.Add(keeperGrantTime)) // it has stopped
 	}
 	g.before = slices.DeleteFunc(g.before, func(p predecessor) bool { return !now.Before(p.endsAt) })
@@ -452,9 +465,12 @@
 	var actions []Action
 	for i := range c.states {
 		g := &c.states[i]
-		if c.mine(g) {
+		switch {
+		case c.mine(g):
 			actions = append(actions, c.keep(now, uint32(i), g)...)
-		} else {
+		case g.handing:
+			actions = append(actions, c.sendAgain(now, g)...)
+		default:
 			actions = append(actions, c.watch(now, uint32(i), g)...)
 		}
 	}
@@ -465,12 +481,14 @@
 
 // keep returns the actions for a group that this daemon keeps.
 func (c *Claims) keep(now time.Time, group uint32, g *claimState) []Action {
+	// A keeper that leaves starts only to pass a received state on, and not after
+	// a claim said that it has stopped.
+	if !g.granting && (!c.leaving || (g.received && g.unsettled == 0)) {
+		return c.start(now, group, g)
+	}
 	if c.leaving {
 		return c.leave(now, group, g)
 	}
-	if !g.granting {
-		return c.start(now, group, g)
-	}
 	if c.alive(g.claim.Successor) {
 		g.successorOK = now
 	}
@@ -499,17 +517,14 @@
 	return nil
 }
 
-// start begins granting when all earlier rights and grants have ended.
+// start begins granting when all earlier rights and grants have ended, or when
+// the state of the keeper before has been received.
 func (c *Claims) start(now time.Time, group uint32, g *claimState) []Action {
-	reason, fromState, long := ClaimFirst, false, false
+	reason, long := ClaimFirst, false
 	var actions []Action
 	for i := range g.before {
 		p := &g.before[i]
 		long = long || p.long
-		if p.handed && p.id == g.stateFrom {
-			fromState = true
-			continue
-		}
 		if now.Before(p.endsAt) {
 			return c.probe(now, p.id, p.address)
 		}
@@ -518,12 +533,12 @@
 	if !now.Before(c.lastRead.Add(LeaseTime)) {
 		return nil
 	}
-	if fromState {
+	if g.received {
 		reason = ClaimStateReceived
 	}
-	g.granting, g.stateFrom, g.before = true, DaemonID{}, nil
+	actions = append(actions, &StartGranting{Group: group, Epoch: g.claim.Epoch, FromState: g.received, Reason: reason})
+	g.granting, g.received, g.before = true, false, nil
 	g.successorOK = now
-	actions = append(actions, &StartGranting{Group: group, Epoch: g.claim.Epoch, FromState: fromState, Reason: reason})
 	if long {
 		// Otherwise the next claim would have to wait for the same right again.
 		claim := Claim{Kind: ClaimRefresh, Group: group, Keeper: c.self.ID, Address: c.self.Address,
@@ -642,67 +657,3 @@
 	}
 	return best
 }
-
-// Leave begins the planned stop: the groups are handed over, as soon as the
-// platform can be read.
-func (c *Claims) Leave(now time.Time) []Action {
-	c.leaving = true
-	return c.Tick(now)
-}
-
-// leave hands a group over. The keeper grants until then.
-func (c *Claims) leave(now time.Time, group uint32, g *claimState) []Action {
-	if !c.fresh(now) || g.pending != (ClaimID{}) {
-		return nil
-	}
-	if g.handed {
-		return c.HandedOver(now, group, true) // the append did not take effect
-	}
-	if g.stopping {
-		return nil
-	}
-	to := g.claim.Successor
-	if !c.alive(to) || c.leavingMember(to) || slices.Contains(g.refusedBy, to) {
-		to = c.successor(group, c.self.Zone, g.refusedBy...)
-	}
-	if to == (DaemonID{}) {
-		g.refusedBy = nil // tries all again
-		return nil
-	}
-	g.handTo, g.stopping = to, true
-	if !g.granting {
-		return c.HandedOver(now, group, true) // there is no state
-	}
-	return []Action{&HandOver{Group: group, To: to, Reason: ClaimPlannedStop}}
-}
-
-// HandedOver takes the outcome of a HandOver: whether the member confirmed that
-// it has the state.
-func (c *Claims) HandedOver(now time.Time, group uint32, taken bool) []Action {
-	g := &c.states[group]
-	if !g.stopping || !c.mine(g) || g.pending != (ClaimID{}) {
-		return nil
-	}
-	if !taken {
-		g.refusedBy = append(g.refusedBy, g.handTo)
-		g.stopping, g.handed = false, false
-		return c.leave(now, group, g)
-	}
-	i := slices.IndexFunc(c.members, func(m Member) bool { return m.ID == g.handTo })
-	if i < 0 {
-		return c.HandedOver(now, group, false)
-	}
-	g.handed = true
-	return c.append(now, g, Claim{Kind: ClaimHandover, Group: group, Keeper: g.handTo,
-		Address: c.members[i].Address, Successor: c.successor(group, c.members[i].Zone, g.handTo)}, ClaimPlannedStop)
-}
-
-// StateReceived tells that this daemon holds the handed-over state of a group.
-// It starts granting when the claim is in the log.
-func (c *Claims) StateReceived(now time.Time, group uint32, from DaemonID) []Action {
-	if group >= uint32(len(c.states)) {
-		return nil
-	}
-	c.states[group].stateFrom = from
-	return c.Tick(now)
-}
--- a/internal/process/ratelimit/ratelimit_test.go
+++ b/internal/process/ratelimit/ratelimit_test.go
@@ -400,6 +400,119 @@
 		Expect(c.Tick(later)).To(BeEmpty())
 	})
 
+	// stopping returns a keeper that leaves and its claim, which is not in the log yet.
+	stopping := func() (*Claims, Claim) {
+		c := newClaims()
+		read(c, later, 0, keeper(1, self, other.ID))
+		claim := appended(c.Leave(later)).Claim
+		Expect(claim.Keeper).To(Equal(other.ID))
+		return c, claim
+	}
+	handedOver := func(actions []Action) *HandOver {
+		Expect(actions).To(ContainElement(BeAssignableToTypeOf(&HandOver{})))
+		return actions[0].(*HandOver)
+	}
+	// nextKeeper returns a daemon that follows a keeper, as seen by that daemon.
+	nextKeeper := func(claims ...Claim) *Claims {
+		next := NewClaims(other, 1, MinRetention, rand.New(rand.NewPCG(2, 1)))
+		next.Members([]Member{self, other})
+		read(next, later, 0, claims...)
+		return next
+	}
+
+	// Guards against a gap in which neither the old nor the new keeper grants.
+	It("grants during a planned stop until its claim is read back, and sends the state until it is taken", func() {
+		c, claim := stopping()
+		Expect(claim.Stopped).To(BeFalse())
+		c.Appended(later, claim, nil)
+		Expect(grants(c, later)).To(BeTrue())
+		a := handedOver(read(c, later, 0, claim))
+		Expect(a.Claim).To(Equal(claim))
+		Expect(a.Offset).To(BeEquivalentTo(1))
+		Expect(grants(c, later)).To(BeFalse())
+		Expect(c.Kept()).To(Equal(1))
+		c.HandedOver(later, claim, false)
+		Expect(handedOver(c.Tick(later.Add(sendAgainAfter))).Claim).To(Equal(claim))
+		c.HandedOver(later, claim, true)
+		Expect(c.Kept()).To(BeZero())
+	})
+
+	// Guards against a stop that waits for a new keeper which is gone.
+	It("gives up sending the state after a limited time", func() {
+		c, claim := stopping()
+		read(c, later, 0, claim)
+		c.HandedOver(later, claim, false)
+		read(c, later.Add(handoverTime), 0)
+		Expect(c.Kept()).To(BeZero())
+	})
+
+	// Guards against two keepers after an append that took effect though its
+	// answer was lost, and against a claim that names another keeper at the same time.
+	It("stops for the first of its claims in the log only", func() {
+		c, first := stopping()
+		c.Appended(later, first, platform.ErrUnknown)
+		second := appended(read(c, later.Add(1), 0)).Claim
+		Expect(second.ID).NotTo(Equal(first.ID))
+		Expect(handedOver(read(c, later.Add(2), 0, first, second)).Claim).To(Equal(first))
+	})
+
+	It("starts with the state at once, whether the claim is read before or after", func() {
+		first := keeper(1, self, other.ID)
+		_, claim := stopping()
+		for _, claims := range [][]Claim{{first}, {first, claim}} {
+			next := nextKeeper(claims...)
+			Expect(grants(next, later)).To(BeFalse())
+			_, taken := next.StateReceived(later, 1, claim)
+			Expect(taken).To(BeTrue())
+			Expect(grants(next, later)).To(BeTrue())
+			read(next, later, 0, claim)
+			Expect(grants(next, later)).To(BeTrue())
+		}
+	})
+
+	// Guards against two keepers after the state was lost: the old one may not
+	// have read the claim.
+	It("waits without the state for the end of the old right and of the grants", func() {
+		_, claim := stopping()
+		startsAt(nextKeeper(keeper(1, self, other.ID), claim), later.Add(8400*time.Millisecond), 0)
+	})
+
+	// Guards against tokens of a state that a later keeper has used.
+	It("refuses a state whose claim is superseded or names another daemon", func() {
+		_, claim := stopping()
+		next := nextKeeper(keeper(1, self, other.ID), claim, keeper(3, Member{ID: DaemonID{"c", 1}}, other.ID))
+		_, taken := next.StateReceived(later, 1, claim)
+		Expect(taken).To(BeFalse())
+		claim.Keeper.Incarnation++
+		_, taken = nextKeeper(keeper(1, self, other.ID)).StateReceived(later, 1, claim)
+		Expect(taken).To(BeFalse())
+	})
+
+	// Guards against requests that are refused because a holder reads the claim
+	// before or after the keepers do.
+	It("lets holders ask the old keeper until the new one has the state", func() {
+		_, claim := stopping()
+		third := func(claims ...Claim) *Claims {
+			c := NewClaims(Member{ID: DaemonID{"c", 1}}, 1, MinRetention, rand.New(rand.NewPCG(3, 1)))
+			c.Members([]Member{self, other})
+			read(c, later, 0, claims...)
+			return c
+		}
+		asked := func(c *Claims, now time.Time) DaemonID {
+			id, ok := c.Asked(now, 0)
+			Expect(ok).To(BeTrue())
+			return id
+		}
+		late, early := third(keeper(1, self, other.ID)), third(keeper(1, self, other.ID), claim)
+		for _, c := range []*Claims{late, early} {
+			Expect(asked(c, later)).To(Equal(self.ID))
+			c.Hint(0, other.ID, claim.Epoch)
+			c.Hint(0, self.ID, 1)
+			Expect(asked(c, later)).To(Equal(other.ID))
+		}
+		Expect(asked(third(keeper(1, self, other.ID), claim), later.Add(handoverTime))).To(Equal(other.ID))
+	})
+
 	It("skips invalid records and refreshes before half of the retention time", func() {
 		c := newClaims()
 		bad := keeper(1, self, other.ID)
--- a/internal/process/ratelimit/record.go
+++ b/internal/process/ratelimit/record.go
@@ -11,8 +11,8 @@
 const (
 	// ClaimNew is by a daemon that was not the keeper.
 	ClaimNew ClaimKind = iota + 1
-	// ClaimHandover is appended by the old keeper for the new one, after the
-	// old one stopped granting.
+	// ClaimHandover is appended by the old keeper for the new one. The old one
+	// grants until it reads the claim, and then sends its state.
 	ClaimHandover
 	// ClaimRefresh is by the keeper itself: it names another successor, tells
 	// that it has started, or keeps the claim in the retained part of the log.
@@ -44,8 +44,14 @@
 	// Started means that the keeper grants, so that all earlier rights and
 	// grants have ended.
 	Started bool `cbor:"10,keyasint,omitempty"`
+	// Stopped means, in a hand-over, that Previous did not grant at the append
+	// and never will under its claim, so that there is no state to wait for.
+	Stopped bool `cbor:"12,keyasint,omitempty"`
 }
 
+// passesState tells if the claim hands a group over whose state will be sent.
+func (c *Claim) passesState() bool { return c.Kind == ClaimHandover && !c.Stopped }
+
 // ClaimError tells that a record of the keepers stream is not a valid claim.
 // Readers skip it.
 type ClaimError struct {
--- a/internal/process/ratelimit/sim_test.go
+++ b/internal/process/ratelimit/sim_test.go
@@ -212,16 +212,28 @@
 }
 
 func (n *simNode) handOver(a *HandOver) {
-	data := must(n.keepers[a.Group].HandOver(n.clock()))
-	if to := n.s.node(a.To.Member); to != nil && to.id == a.To {
-		n.s.deliver(to, func() {
-			to.states[a.Group] = data
-			to.do(to.claims.StateReceived(to.clock(), a.Group, n.id))
-			n.s.deliver(n, func() { n.do(n.claims.HandedOver(n.clock(), a.Group, true)) })
-		})
+	data := must(n.keepers[a.Claim.Group].HandOver(n.clock()))
+	if to := n.s.node(a.Claim.Keeper.Member); to != nil && to.id == a.Claim.Keeper {
+		n.s.deliver(to, func() { to.takeOver(n, a, data) })
+	}
+	n.s.at(n, time.Second, func() { n.do(n.claims.HandedOver(n.clock(), a.Claim, false)) })
+}
+
+// takeOver takes a handed-over state and confirms it.
+func (n *simNode) takeOver(from *simNode, a *HandOver, data []byte) {
+	actions, taken := n.claims.StateReceived(n.clock(), a.Offset, a.Claim)
+	if taken {
+		n.states[a.Claim.Group] = data
 	}
-	// Has no effect after the confirmation has led to an append.
-	n.s.at(n, time.Second, func() { n.do(n.claims.HandedOver(n.clock(), a.Group, false)) })
+	n.do(actions)
+	n.s.deliver(from, func() {
+		from.do(from.claims.HandedOver(from.clock(), a.Claim, taken))
+		if taken {
+			for _, m := range n.s.nodes {
+				n.s.deliver(m, func() { m.claims.Hint(a.Claim.Group, a.Claim.Keeper, a.Claim.Epoch) })
+			}
+		}
+	})
 }
 
 func must[T any](v T, err error) T {
@@ -377,8 +389,8 @@
 // send passes the holder's messages to the keepers and the replies back.
 func (n *simNode) send() {
 	for _, r := range n.holder.Requests(n.clock()) {
-		claim, known := n.claims.Keeper(r.Group)
-		keeper, sent := n.s.node(claim.Keeper.Member), n.s.now
+		asked, known := n.claims.Asked(n.clock(), r.Group)
+		keeper, sent := n.s.node(asked.Member), n.s.now
 		if !known || keeper == nil {
 			n.s.at(n, 0, func() {
 				n.holder.Failed(n.clock(), r.Number)
