Test that a daemon which reads claims late has tokens after planned stops

Cause: before the hand-over claim came first, a new keeper granted only once it had read the claim itself. A daemon whose reads of the keepers stream come late was a window in which requests got 503 rate-unavailable.

Change: a fleet spec in which one daemon gets its reads of the keepers stream a minute late while all keepers stop one after the other.

Ruled out: trials with 2 s late reads of each daemon in turn during rolling restarts, and with 20 ms per hop of the network, showed no refusal, neither with the old order (late reads only) nor with the new one; not kept. Reads of all streams 2 s late gave 503 tables-stale at that daemon: the limit for fresh keys (4 s), which is not part of the hand-over.

--- a/internal/process/daemon/fake_platform_test.go
+++ b/internal/process/daemon/fake_platform_test.go
@@ -29,6 +29,9 @@
 type hostLog struct {
 	*fakeLog
 	cut atomic.Bool
+	// claimsLate is how much later, in nanoseconds, this host gets what it reads
+	// of the keepers stream.
+	claimsLate atomic.Int64
 }
 
 func (l *hostLog) Append(ctx context.Context, stream platform.Stream, data []byte) (platform.Offset, error) {
@@ -41,6 +44,9 @@
 func (l *hostLog) Read(ctx context.Context, stream platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
 	if !l.cut.Load() {
 		batch, err := l.fakeLog.Read(ctx, stream, from, limit, wait)
+		if stream == platform.StreamKeepers {
+			pause(ctx, time.Duration(l.claimsLate.Load()))
+		}
 		if !l.cut.Load() {
 			return batch, err
 		}
--- a/internal/process/daemon/rate_test.go
+++ b/internal/process/daemon/rate_test.go
@@ -156,3 +156,35 @@
 	Entry("several times the rate: at most rate × time + burst in every interval", 3*testRate),
 	Entry("within the rate: wrongful refusals", testRate*7/10),
 )
+
+// Guards against requests that are refused since a daemon, as the new keeper or as
+// a holder, reads the claim long after the old keeper has stopped.
+var _ = It("a daemon that reads claims late has tokens after planned stops of the keepers", func() {
+	inFleet(controlFleet, func(f *fleet, g *WithT) {
+		late := f.hosts[slices.IndexFunc(f.hosts, func(h *host) bool {
+			return !slices.ContainsFunc(f.hosts[0].running().groups.status(), func(s GroupStatus) bool { return s.Keeper == h.name })
+		})]
+		// Bursts below 8 are not drawn ahead, so that each request needs a keeper.
+		f.publish(f.testTables(controlFleet, testRate, 4))
+		time.Sleep(2 * time.Second)
+		late.log.claimsLate.Store(int64(time.Minute))
+		t := &takes{refused: map[problem.Kind]int{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for pause(ctx, 50*time.Millisecond) {
+				t.take(late.running())
+			}
+		})
+		for _, group := range late.running().groups.status() {
+			keeper := slices.IndexFunc(f.hosts, func(h *host) bool { return h.name == group.Keeper })
+			if f.hosts[keeper].running() != nil {
+				g.Expect(f.hosts[keeper].stop()).To(Succeed())
+			}
+		}
+		cancel()
+		wg.Wait()
+		g.Expect(t.sent).To(BeNumerically(">", 50))
+		g.Expect(t.refused).To(BeEmpty())
+	})
+})
