Drop the old keeper when the state of a later one arrives before the claims between

Cause: a keeper that was cut off from the log and superseded could get the group back by a planned stop of the next keeper. It took the claim that came with the state for a refresh of its own, since it had not read the one between, and went on with its old bucket.

Change: a claim continues the keeper's claim only if it was built on that claim's keeper; else the keeper is stopped, and starts from the state.

The new unit test covers the case.

--- a/internal/process/ratelimit/follow.go
+++ b/internal/process/ratelimit/follow.go
@@ -77,7 +77,9 @@
 		return nil // an earlier record of the log has this epoch
 	}
 	var actions []Action
-	same := g.known && claim.Keeper == g.claim.Keeper
+	// Claims between the two may be unread if the claim came with a state: this
+	// daemon may have been superseded meanwhile.
+	same := g.known && claim.Keeper == g.claim.Keeper && claim.Previous == claim.Keeper
 	handing := c.beginsHandover(g, claim)
 	if !same {
 		if !handing {
--- a/internal/process/ratelimit/ratelimit_test.go
+++ b/internal/process/ratelimit/ratelimit_test.go
@@ -488,6 +488,17 @@
 		Expect(taken).To(BeFalse())
 	})
 
+	// Guards against a daemon that goes on with its old bucket when a group comes
+	// back to it and it has not read that another one kept the group meanwhile.
+	It("drops its old keeper when it gets the state of a later one", func() {
+		next := nextKeeper(keeper(1, other, self.ID))
+		Expect(grants(next, later)).To(BeTrue())
+		actions, taken := next.StateReceived(later, 2, Claim{Kind: ClaimHandover, Epoch: 3, Keeper: other.ID, Previous: self.ID})
+		Expect(taken).To(BeTrue())
+		Expect(actions[0]).To(Equal(&StopGranting{Reason: ClaimSuperseded}))
+		Expect(actions[1]).To(Equal(&StartGranting{Epoch: 3, FromState: true, Reason: ClaimStateReceived}))
+	})
+
 	// Guards against requests that are refused because a holder reads the claim
 	// before or after the keepers do.
 	It("lets holders ask the old keeper until the new one has the state", func() {
