--- a/internal/process/daemon/rate_test.go
+++ b/internal/process/daemon/rate_test.go
@@ -240,9 +240,9 @@
 		f.publish(f.testTables(controlFleet, testRate, testBurst))
 		time.Sleep(10 * time.Second)
 		t.mu.Lock()
-		before := len(t.admitted)
+		before, unavailable := len(t.admitted), t.refused[problem.KindRateUnavailable]
 		t.mu.Unlock()
-		g.Expect(t.refused[problem.KindRateUnavailable]).To(BeNumerically(">", 0), "a suspended workspace is not over its rate")
+		g.Expect(unavailable).To(BeNumerically(">", 0), "a suspended workspace is not over its rate")
 		time.Sleep(10 * time.Second)
 		cancel()
 		load.wg.Wait()
