Choose the ports of test processes below the range of outgoing connections

Cause: a comparison did not start its daemons, since a backend server stand-in found its port in use: a connection of the run beside it had taken the port between its choice and its use.

Ruled out: a daemon that does not become ready (its own log shows none of its backend server's announcements; that one's says 'address already in use').

Change: ports come from 20,000 to 32,000, in a row from a random begin.

--- a/internal/process/testbed/process.go
+++ b/internal/process/testbed/process.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -115,31 +116,47 @@
 	return string(content)
 }
 
-// FreePorts returns n TCP ports of the loopback address that are free now. Each
-// is also free for UDP, since a daemon uses its peer port for both.
+// Ports of the processes are below the range from which the system takes the ports
+// of outgoing connections. One of that range could be taken by a connection
+// between its choice and its use: a run beside another one failed so.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// FreePorts returns n ports of the loopback address, in a row as far as they are
+// free for TCP and UDP now, since a daemon uses its peer port for both. The begin
+// of the row is random, so that runs at the same time rarely choose the same.
 func FreePorts(n int) ([]int, error) {
-	listeners := make([]net.Listener, 0, n)
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	ports := make([]int, 0, n)
-	for len(ports) < n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+	port := firstPort + rand.IntN(lastPort-firstPort)
+	for range lastPort - firstPort {
+		if port++; port == lastPort {
+			port = firstPort
 		}
-		listeners = append(listeners, l)
-		port := l.Addr().(*net.TCPAddr).Port
-		udp, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+		if isFree(fmt.Sprintf("127.0.0.1:%d", port)) {
+			ports = append(ports, port)
+		}
+		if len(ports) == n {
+			return ports, nil
 		}
-		_ = udp.Close()
-		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("%d ports from %d to %d are free, %d are needed; end other runs", len(ports), firstPort, lastPort, n)
+}
+
+// isFree reports whether nothing listens at an address, over TCP and UDP.
+func isFree(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = udp.Close()
+	return true
 }
 
 // WaitReady polls a URL until it answers with a status below 300.
