Let the full and the partial rebuild of the tables share one path

Found when reading the change again: build and rebuild repeated sort, check and index, and Apply computed the changed kinds twice. No change of behaviour; the tests keep their assertions.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -299,7 +299,7 @@
 }
 
 // awaitService waits, for a limited time, until there are tables in force and
-// the pools have been built from the members that the log named.
+// the pools have been built from the members that the log or a peer named.
 func (d *Daemon) awaitService(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
--- a/internal/version/tables/changes.go
+++ b/internal/version/tables/changes.go
@@ -184,7 +184,9 @@
 	if len(faults) > 0 {
 		return nil, faults
 	}
-	return rebuild(t.rows.with(changes, seen), t, kindsOf(seen))
+	changed := kindsOf(seen)
+	rows := t.rows.with(changes, seen, changed)
+	return rebuild(checker{rows: &rows, changed: changed}, t)
 }
 
 // kindSet is a set of kinds of rows.
@@ -217,8 +219,7 @@
 
 // with returns the rows without those in changed, plus the rows that are put.
 // Lists of kinds that do not change are shared.
-func (r rows) with(changes []Change, changed map[RowRef]bool) rows {
-	kinds := kindsOf(changed)
+func (r rows) with(changes []Change, changed map[RowRef]bool, kinds kindSet) rows {
 	out := rows{
 		routes:     without(r.routes, KindRoute, kinds, changed),
 		keys:       without(r.keys, KindKey, kinds, changed),
--- a/internal/version/tables/check.go
+++ b/internal/version/tables/check.go
@@ -51,25 +51,18 @@
 	for i := range r.routes {
 		r.routes[i] = r.routes[i].clone()
 	}
-	r.sort(allKinds)
-	c := checker{rows: &r, changed: allKinds, faults: faults, parser: p}
-	c.check()
-	if len(c.faults) > 0 {
-		return nil, c.faults
-	}
-	return index(r, &Tables{}, allKinds)
+	return rebuild(checker{rows: &r, changed: allKinds, faults: faults, parser: p}, &Tables{})
 }
 
-// rebuild does the same for rows that differ from those of base in some kinds
-// only. The lists of the other kinds are shared with base.
-func rebuild(r rows, base *Tables, changed kindSet) (*Tables, error) {
-	r.sort(changed)
-	c := checker{rows: &r, changed: changed}
+// rebuild sorts, checks and indexes the rows of c, which differ from those of
+// base in the changed kinds only. The lists of the other kinds are shared with base.
+func rebuild(c checker, base *Tables) (*Tables, error) {
+	c.rows.sort(c.changed)
 	c.check()
 	if len(c.faults) > 0 {
 		return nil, c.faults
 	}
-	return index(r, base, changed)
+	return index(*c.rows, base, c.changed)
 }
 
 // sort sorts the lists of some kinds.
--- a/internal/version/tables/tables_suite_test.go
+++ b/internal/version/tables/tables_suite_test.go
@@ -248,7 +248,7 @@
 				}
 			}
 			_, err := t.Apply(changes)
-			if _, want := build(t.rows.with(changes, removed), nil, nil); (err == nil) != (want == nil) {
+			if _, want := build(t.rows.with(changes, removed, allKinds), nil, nil); (err == nil) != (want == nil) {
 				rt.Fatalf("Apply: %v; check of all rows: %v", err, want)
 			}
 		})
