--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -29,8 +29,11 @@
 
 // Limits of a caller's connection.
 const (
-	// MaxHeaderBytes bounds the header section; net/http answers 431 beyond it.
+	// MaxHeaderBytes bounds the names and values of the header section.
 	MaxHeaderBytes = 64 << 10
+	// rawHeaderBytes is what net/http reads at most; beyond it, it answers 431
+	// itself, without a problem document.
+	rawHeaderBytes = 4 * MaxHeaderBytes
 	// readHeaderTimeout ends connections that never complete a header section.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout ends unused connections, also those that have gone silent.
@@ -45,10 +48,24 @@
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    MaxHeaderBytes,
+		MaxHeaderBytes:    rawHeaderBytes,
 	}
 }
 
+// CheckHeader returns the refusal of a header section over MaxHeaderBytes.
+func CheckHeader(header http.Header) *problem.Problem {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > MaxHeaderBytes {
+		return problem.New(problem.KindHeaderTooLarge, "the header is over the limit of "+strconv.Itoa(MaxHeaderBytes)+" bytes")
+	}
+	return nil
+}
+
 // BearerKey returns the key of an Authorization field.
 func BearerKey(header http.Header) (string, *problem.Problem) {
 	value := header.Get("Authorization")
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -127,6 +127,9 @@
 
 // check finds the route of a request and checks its key and header fields.
 func (e *entry) check(r *http.Request, q *received) *problem.Problem {
+	if refusal := caller.CheckHeader(r.Header); refusal != nil {
+		return refusal
+	}
 	route, ok := q.tables.Tables.Match(r.Method, r.URL.Path)
 	if !ok && !e.configuration.known() {
 		return e.configuration.noTables()
--- a/internal/process/daemon/executor.go
+++ b/internal/process/daemon/executor.go
@@ -15,10 +15,9 @@
 	"tarragonshore.example/tarragonshore/internal/request/admission"
 	"tarragonshore.example/tarragonshore/internal/request/execution"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
-	"tarragonshore.example/tarragonshore/internal/request/ticket"
 )
 
-// execution of attempts: how long ended runs and ids are swept.
+// Times of forgetting ended runs and ids.
 const (
 	sweepInterval = 500 * time.Millisecond
 	runGrace      = 5 * time.Second
@@ -108,42 +107,6 @@
 	e.carryOut(&fx)
 }
 
-// handleForward takes a request that was forwarded to its ticket's home. It is
-// settled like an attempt, but does not wait for the backend server.
-func (e *executor) handleForward(asker execution.Peer, m *wire.Forward, run func() *wire.Answer) {
-	now := time.Now()
-	e.mu.Lock()
-	offered := e.attempts.Offer(now, m.ID, asker, m.Context.Remaining())
-	started := false
-	if offered.Outcome == execution.OfferNew {
-		started, _ = e.attempts.Start(now, m.ID)
-	}
-	e.mu.Unlock()
-	switch {
-	case started:
-		go e.forward(m.ID, run)
-	case offered.Answer != nil:
-		e.deliver(asker, offered.Answer)
-	case offered.Refusal != nil:
-		// Only the ticket's table may say that the request has not run: an
-		// earlier try with the same ticket may have.
-		refusal := *offered.Refusal
-		refusal.Executed = problem.ExecutedUnknown
-		e.deliver(asker, &wire.Answer{ID: m.ID, Refusal: refusalMessage(&refusal), Credits: m.Context.Credits})
-	}
-}
-
-// forward runs a forwarded request and sends its answer.
-func (e *executor) forward(id wire.AttemptID, run func() *wire.Answer) {
-	answer := run()
-	e.mu.Lock()
-	finished := e.attempts.Finish(id, answer)
-	e.mu.Unlock()
-	if finished.Send {
-		e.deliver(finished.Asker, answer)
-	}
-}
-
 // admit checks a new attempt and offers it to the admission controller.
 func (e *executor) admit(now time.Time, asker execution.Peer, attempt *wire.Attempt, fx *effects) {
 	run := &execRun{attempt: attempt, asker: asker, arrived: now, deadline: now.Add(attempt.Context.Remaining())}
@@ -481,26 +444,3 @@
 		return ctx.Err()
 	}
 }
-
-// childBegin decides about a call of the own backend server.
-func (e *executor) childBegin(token, key string, fingerprint ticket.Fingerprint, idempotent bool) execution.ChildDecision {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.children.Begin(time.Now(), token, key, fingerprint, idempotent)
-}
-
-// withChildren runs a step on the table of request tokens.
-func (e *executor) withChildren(step func(*execution.Children)) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	step(e.children)
-}
-
-// noteShedBelow records that a call of the run was refused as overloaded.
-func (e *executor) noteShedBelow(token string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if run, ok := e.tokens[token]; ok {
-		run.shedBelow = true
-	}
-}
--- a/internal/process/daemon/path_test.go
+++ b/internal/process/daemon/path_test.go
@@ -1,8 +1,13 @@
 package daemon
 
 import (
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
 )
 
 var _ = Describe("the whole path", func() {
@@ -16,6 +21,16 @@
 		})
 	})
 
+	// Guards against an untyped answer to a header section that is too large.
+	It("refuses a header that is too large with a problem document", func() {
+		inFleet([]string{"orders", "stock"}, func(f *fleet, g *WithT) {
+			a := f.ask(f.hosts[0], request{path: "/stock/1", key: strings.Repeat("k", caller.MaxHeaderBytes)})
+			g.Expect(a.status).To(Equal(431))
+			g.Expect(a.kind).To(Equal(problem.KindHeaderTooLarge))
+			g.Expect(a.executed).To(Equal(problem.ExecutedNo))
+		})
+	})
+
 	// Guards against a second run of a non-idempotent request whose caller
 	// repeats it at other daemons with the same ticket.
 	It("runs a request once that is repeated with its ticket", func() {
--- a/internal/process/load/command.go
+++ b/internal/process/load/command.go
@@ -30,6 +30,8 @@
 	systems  []string
 	bin      string
 	out      string
+	// checkOnly stops after the scenario was checked.
+	checkOnly bool
 }
 
 // Main runs the command and returns its exit code.
@@ -69,11 +71,18 @@
 		Example: `  tarragon-load compare --scenario scenarios/trust.ini --seed 1
   tarragon-load compare --scenario scenarios/trust.ini --systems tarragonshore --bin ./bin --out ./out`,
 		Args: cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error { return compare(command.Context(), o) },
+		RunE: func(command *cobra.Command, _ []string) error {
+			if o.checkOnly {
+				_, err := LoadScenario(o.scenario)
+				return err
+			}
+			return compare(command.Context(), o)
+		},
 	}
 	flags := command.Flags()
 	flags.StringVar(&o.scenario, "scenario", "", "scenario file")
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	flags.BoolVar(&o.checkOnly, "check-config", false, "check the scenario and exit")
 	flags.StringSliceVar(&o.systems, "systems", []string{string(SystemNone), string(SystemStatic), string(SystemDaemons)}, "systems to compare")
 	flags.StringVar(&o.bin, "bin", "", "directory of the programs; empty builds them from this module")
 	flags.StringVar(&o.out, "out", "out", "directory for logs, reports and the plot")
--- a/internal/process/load/driver.go
+++ b/internal/process/load/driver.go
@@ -147,14 +147,12 @@
 	}
 	response, err := d.client.Do(request)
 	if err != nil {
-		d.entitled.ended(outcome.Workspace, entitled, false)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	kind, executed := refusalOf(response, body)
 	refused := kind == problem.KindRateExceeded || kind == problem.KindRateUnavailable
-	d.entitled.ended(outcome.Workspace, entitled, refused)
 	if entitled && refused {
 		outcome.WronglyRefused++
 	}
--- a/internal/process/load/entitlement.go
+++ b/internal/process/load/entitlement.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// entitlement tells which refusals for rate are wrongful: those of a workspace
-// whose rate and burst, charged with what the system did admit, have room for the
-// request. It keeps one exact token bucket per workspace at the callers.
+// entitlement tells which tries are inside the rate of their workspace: all
+// tries of the workspace together, also refused ones, fit its rate and burst. A
+// workspace that sends more is outside its rate until it has sent less for as
+// long as its bucket takes to fill from empty.
 type entitlement struct {
 	mu      sync.Mutex
 	buckets []tokenBucket
@@ -27,7 +28,7 @@
 	return e
 }
 
-// sent charges a try and tells whether the workspace's rate has room for it.
+// sent charges a try and tells whether it is inside the workspace's rate.
 func (e *entitlement) sent(workspace int, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -36,22 +37,6 @@
 		b.level = min(b.burst, b.level+elapsed.Seconds()*b.rate)
 		b.at = now
 	}
-	if b.level < 1 {
-		return false
-	}
-	b.level--
-	return true
-}
-
-// ended corrects the charge of a try when it is known whether the system
-// refused it for rate.
-func (e *entitlement) ended(workspace int, charged, refused bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	switch b := &e.buckets[workspace]; {
-	case charged && refused:
-		b.level++
-	case !charged && !refused:
-		b.level--
-	}
+	b.level = max(b.level-1, -b.burst)
+	return b.level >= 0
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -13,6 +13,7 @@
 
 	"gopkg.in/ini.v1"
 
+	"tarragonshore.example/tarragonshore/internal/version/strictini"
 	"tarragonshore.example/tarragonshore/internal/version/tables"
 )
 
@@ -182,16 +183,7 @@
 		l.fault(ReasonFile, path, "", "", err.Error(), "give the path of a readable INI file")
 		return
 	}
-	file, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreContinuation:         true,
-		SpaceBeforeInlineComment:   true,
-		KeyValueDelimiters:         "=",
-		ChildSectionDelimiter:      "\x00", // no inheritance between sections
-		AllowNonUniqueSections:     true,   // duplicates are reported below
-		AllowShadows:               true,   // likewise for keys
-		AllowDuplicateShadowValues: true,
-		PreserveEmptyShadowValues:  true,
-	}, text)
+	file, err := strictini.Load(text)
 	if err != nil {
 		l.fault(ReasonSyntax, path, "", "", err.Error(), "correct the INI syntax: '[section]', then lines 'key = value'")
 		return
--- a/internal/process/standin/command.go
+++ b/internal/process/standin/command.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/process/settings"
 )
 
@@ -154,7 +155,11 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler}
+	m, err := metrics.New()
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: withAdmin(handler, m)}
 	go func() {
 		<-ctx.Done()
 		drain()
@@ -166,6 +171,21 @@
 	return nil
 }
 
+// withAdmin adds the admin endpoints to a stand-in's port.
+func withAdmin(next http.Handler, m *metrics.Metrics) http.Handler {
+	exposition := m.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/livez", "/readyz":
+			w.WriteHeader(http.StatusOK)
+		case "/metrics":
+			exposition.ServeHTTP(w, r)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
 // announceLoop announces the server until ctx ends.
 func (b *Backend) announceLoop(ctx context.Context) {
 	for {
--- a/internal/version/tables/parse.go
+++ b/internal/version/tables/parse.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"tarragonshore.example/tarragonshore/internal/version/strictini"
 )
 
 // MaxInputBytes bounds the text of one table.
@@ -65,16 +67,7 @@
 		p.syntax(table, strconv.Itoa(len(text))+" bytes", "keep the text under "+strconv.Itoa(MaxInputBytes)+" bytes")
 		return
 	}
-	file, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreContinuation:         true,
-		SpaceBeforeInlineComment:   true,
-		KeyValueDelimiters:         "=",
-		ChildSectionDelimiter:      "\x00", // no inheritance between sections
-		AllowNonUniqueSections:     true,   // duplicates are reported below
-		AllowShadows:               true,   // likewise for settings
-		AllowDuplicateShadowValues: true,
-		PreserveEmptyShadowValues:  true,
-	}, text)
+	file, err := strictini.Load(text)
 	if err != nil {
 		p.syntax(table, err.Error(), "correct the INI syntax: '[section name]', then lines 'key = value'")
 		return
