Run beside backend servers on a shared platform: the thin whole path

Cause: the users' platform publishes the tables and keeps what lasts; nothing of the project spoke to it. A new program, tarragon-agent, serves the path with pure decisions for shedding at the entry, shares of rates, placement and the queue at the executing daemon; platform/ translates.

Ruled out: extending tarragond, whose members, keepers and tickets the platform makes needless; net/http's client towards backend servers, which takes a late second answer for the answer to the next request.

--- /dev/null
+++ b/cmd/tarragon-agent/main.go
@@ -0,0 +1,144 @@
+// Command tarragon-agent is the daemon of tarragonshore for hosts on a shared
+// platform that publishes the tables and keeps the directory of daemons.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"tarragonshore.example/tarragonshore/internal/connection/network"
+	"tarragonshore.example/tarragonshore/internal/process/agent"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/metrics"
+	"tarragonshore.example/tarragonshore/internal/process/settings"
+	"tarragonshore.example/tarragonshore/platform"
+)
+
+// Exit codes.
+const (
+	exitStopped = 0
+	exitFailed  = 1
+	exitUsage   = 2
+)
+
+// heapGrowth is the garbage collector's target in percent. Lower: less memory
+// and more processor time.
+const heapGrowth = 50
+
+func main() {
+	code := exitStopped
+	if err := newCommand(&code).Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = max(code, exitUsage)
+	}
+	logging.Flush()
+	os.Exit(code)
+}
+
+// newCommand returns the command line. It sets code for a failed run.
+func newCommand(code *int) *cobra.Command {
+	var config string
+	var checkOnly, reference bool
+	command := &cobra.Command{
+		Use:   "tarragon-agent",
+		Short: "Overload control beside a backend server, on a shared platform",
+		Long: "tarragon-agent receives the requests of its host's callers and backend server, decides whether and\n" +
+			"where they run, and hands work to the backend server of its host. SIGTERM and SIGINT begin a graceful\n" +
+			"stop; SIGHUP reads the settings again.\n" +
+			"Exit codes: 0 stopped as planned, 1 failed, 2 wrong command line or settings.",
+		Example:       "  tarragon-agent --config agent.ini\n  tarragon-agent --config agent.ini --check-config",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(*cobra.Command, []string) error {
+			if reference {
+				fmt.Print(settings.AgentReference())
+				return nil
+			}
+			loaded, err := settings.LoadAgent(config, os.Environ())
+			if err != nil || checkOnly {
+				return err
+			}
+			*code = run(loaded, config)
+			return nil
+		},
+	}
+	command.Flags().StringVar(&config, "config", "", "INI file with the settings; TARRAGON_SECTION_KEY overrides it")
+	command.Flags().BoolVar(&checkOnly, "check-config", false, "check the settings and exit")
+	command.Flags().BoolVar(&reference, "settings-reference", false, "print the settings as a Markdown table and exit")
+	return command
+}
+
+// run runs the agent until a signal and returns the exit code.
+func run(loaded *settings.Agent, path string) int {
+	debug.SetGCPercent(heapGrowth)
+	level, _ := logging.ParseLevel(loaded.Log.Level)
+	logging.Setup(level, os.Stdout)
+	app := fx.New(
+		fx.Supply(loaded),
+		fx.Provide(metrics.New, newAgent),
+		fx.Invoke(register),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		logging.ErrorEvent("agent", "composition-failed", err)
+		return exitFailed
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := app.Start(context.Background()); err != nil {
+		logging.ErrorEvent("agent", "start-failed", err)
+		return exitFailed
+	}
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		reload(path)
+	}
+	if err := app.Stop(context.Background()); err != nil {
+		logging.ErrorEvent("agent", "stop-incomplete", err)
+		return exitFailed
+	}
+	return exitStopped
+}
+
+// reload checks the settings again. All of them take effect at the next start.
+func reload(path string) {
+	if _, err := settings.LoadAgent(path, os.Environ()); err != nil {
+		logging.ErrorEvent("agent", "settings-rejected", err, "file", path)
+		return
+	}
+	logging.Event("agent", "settings-read", "file", path, "effect", "at-next-start")
+}
+
+func newAgent(s *settings.Agent, m *metrics.Metrics) *agent.Agent {
+	cfg := agent.Config{
+		Member: s.Name, Zone: s.Zone, Service: s.Service, ServerAddress: s.Backend.Address.String(),
+		Heartbeat: s.Backend.HeartbeatInterval, RevokeBound: s.Platform.RevokeBound,
+	}
+	cfg.Listen.Caller, cfg.Listen.Ready, cfg.Listen.Announce = s.Listen.Caller, s.Listen.Ready, s.Listen.Announce
+	cfg.Listen.Peer, cfg.Listen.Admin = s.Listen.Peer, s.Listen.Admin
+	return agent.New(cfg, agent.Surroundings{
+		Network: network.System{}, Store: platform.NewStore(s.Platform.Address.String()), Protocol: platform.Protocol{},
+		Metrics: m, Control: platform.Control,
+	})
+}
+
+// register ties the agent and the metrics to the life of the process.
+func register(life fx.Lifecycle, a *agent.Agent, m *metrics.Metrics) {
+	life.Append(fx.Hook{OnStop: m.Shutdown})
+	life.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error { return eris.Wrap(a.Start(ctx), "start the agent") },
+		OnStop:  func(ctx context.Context) error { return eris.Wrap(a.Stop(ctx), "stop the agent") },
+	})
+}
--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -132,6 +132,8 @@
 		return &TablesReply{}
 	case TypeGoAway:
 		return &GoAway{}
+	case TypeStatus:
+		return &Status{}
 	}
 	return nil
 }
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -3,7 +3,11 @@
 // integer keys. Unknown keys are ignored, so that fields can be added.
 package wire
 
-import "time"
+import (
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/request/shedding"
+)
 
 // MaxFrameBytes bounds an encoded frame.
 const MaxFrameBytes = 8 << 20
@@ -32,6 +36,7 @@
 	TypeTablesRequest
 	TypeTablesReply
 	TypeGoAway
+	TypeStatus
 )
 
 // Message is a value of one of the message types of this package.
@@ -113,6 +118,11 @@
 	Server  string    `cbor:"4,keyasint"`
 	Context Context   `cbor:"5,keyasint"`
 	Request Request   `cbor:"6,keyasint"`
+	// RequestID is the caller's own id of the request, for the backend server
+	// and the logs.
+	RequestID string `cbor:"7,keyasint,omitempty"`
+	// Origin is the service on the host where the request entered.
+	Origin string `cbor:"8,keyasint,omitempty"`
 }
 
 // Threshold is the admission level of an executing daemon: requests with a
@@ -133,6 +143,20 @@
 	ServiceMS uint32    `cbor:"7,keyasint,omitempty"`
 	// ShedBelow tells that the run made a call which was shed.
 	ShedBelow bool `cbor:"8,keyasint,omitempty"`
+	// Load is the load of the backend server when the answer was sent.
+	Load *Load `cbor:"9,keyasint,omitempty"`
+	// Reached tells that the backend server received the request, also if it
+	// then refused to run it.
+	Reached bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Load is the load of one backend server as its daemon sees it.
+type Load struct {
+	Number  uint64        `cbor:"1,keyasint"` // a greater one is newer
+	Running int           `cbor:"2,keyasint"`
+	Waiting int           `cbor:"3,keyasint"`
+	Limit   int           `cbor:"4,keyasint"`
+	Service time.Duration `cbor:"5,keyasint"`
 }
 
 // AnswerAck lets the executing daemon drop the kept answer.
@@ -269,6 +293,46 @@
 	Keepers []GroupKeeper `cbor:"2,keyasint,omitempty"`
 }
 
+// ServerPhase is the phase of a backend server's life.
+type ServerPhase uint8
+
+// The phases. Only a ready server gets new work.
+const (
+	ServerAbsent ServerPhase = iota
+	ServerWarming
+	ServerReady
+	ServerLeaving
+)
+
+// Usable reports whether the server takes new work.
+func (p ServerPhase) Usable() bool { return p == ServerWarming || p == ServerReady }
+
+// Status is what a daemon tells all others, over UDP, a few times a second.
+type Status struct {
+	Member      string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Number      uint64 `cbor:"3,keyasint"` // a greater one of an incarnation is newer
+	Address     string `cbor:"4,keyasint"` // for peer links and for Status
+	Zone        string `cbor:"5,keyasint"`
+	Leaving     bool   `cbor:"6,keyasint,omitempty"`
+	// Server is the backend server's id, of Service.
+	Server  string        `cbor:"7,keyasint,omitempty"`
+	Service string        `cbor:"8,keyasint,omitempty"`
+	Phase   ServerPhase   `cbor:"9,keyasint,omitempty"`
+	Load    Load          `cbor:"10,keyasint"`
+	Wait    time.Duration `cbor:"11,keyasint,omitempty"`
+	// Runs and Arrivals are the inputs of the shedding plan.
+	Runs     []shedding.RunReport `cbor:"12,keyasint,omitempty"`
+	Arrivals []shedding.Arrivals  `cbor:"13,keyasint,omitempty"`
+	// Demands is the rate of requests by workspace.
+	Demands map[string]float64 `cbor:"14,keyasint,omitempty"`
+	// Catalog is the version of the tables in force at the sender.
+	Catalog uint64 `cbor:"15,keyasint,omitempty"`
+}
+
+// Type implements Message.
+func (Status) Type() Type { return TypeStatus }
+
 // Type implements Message.
 func (Hello) Type() Type { return TypeHello }
 
--- /dev/null
+++ b/internal/process/agent/dispatcher.go
@@ -0,0 +1,322 @@
+package agent
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/request/placement"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/retry"
+)
+
+const (
+	// repeatRatio bounds the repeats at a service as a share of the first
+	// attempts. A repeat at the top of a chain repeats the calls below it, so
+	// that the shares of all levels add up; four levels stay below a fifth.
+	repeatRatio = 0.04
+	// maxMoves bounds the upstreams that are asked after others said that an
+	// attempt had not reached their backend server.
+	maxMoves = 4
+	// answerGrace is how long after the deadline the answer of an executing
+	// daemon is waited for. It may hold the backend server's own answer.
+	answerGrace = 120 * time.Millisecond
+	// minRepeatTime is the least time left for which an attempt is sent again.
+	minRepeatTime = 50 * time.Millisecond
+)
+
+// call is one request on its way to a service.
+type call struct {
+	requestID  string
+	route      string
+	service    string
+	origin     string
+	workspace  string
+	importance uint8
+	idempotent bool
+	attempts   int // upstreams that it may reach
+	begun      time.Time
+	deadline   time.Time
+	request    wire.Request
+	tried      []string
+}
+
+// attemptEnd is the end of one attempt.
+type attemptEnd struct {
+	response *wire.Response
+	refusal  *problem.Problem
+	answer   *wire.Answer // nil if none arrived
+	// abandoned is true if this side gave up.
+	abandoned bool
+}
+
+// waiter waits for the answer to an attempt.
+type waiter struct {
+	done chan attemptEnd // buffered
+	link uint64          // number of the link; 0 for the own executor
+}
+
+// dispatcher sends attempts to executing daemons and waits for their answers.
+// Its lock guards waiters, budgets and rng.
+type dispatcher struct {
+	fleet *fleet
+	hub   *peer.Hub
+	local *executor
+	log   *requestLog
+
+	mu      sync.Mutex
+	waiters map[wire.AttemptID]*waiter
+	budgets map[string]*retry.Budget
+	rng     *rand.Rand
+	prefix  [8]byte
+	counter uint64
+}
+
+func newDispatcher(f *fleet, local *executor, log *requestLog) *dispatcher {
+	d := &dispatcher{
+		fleet: f, local: local, log: log,
+		waiters: make(map[wire.AttemptID]*waiter), budgets: make(map[string]*retry.Budget),
+	}
+	_, _ = crand.Read(d.prefix[:]) // crypto/rand.Read never fails
+	d.rng = rand.New(rand.NewPCG(binary.BigEndian.Uint64(d.prefix[:]), 0))
+	return d
+}
+
+// run sends attempts until one is to be delivered or the call is to be refused.
+func (d *dispatcher) run(ctx context.Context, c *call) (*wire.Response, *problem.Problem) {
+	d.firstAttempt(c.service)
+	reached, moves := 0, 0
+	var last *attemptEnd
+	for {
+		id, member, ok := d.fleet.pick(time.Now(), d.rand(), c.service, c.tried)
+		if !ok {
+			return d.giveUp(c, last, "no upstream of "+c.service+" is left")
+		}
+		end := d.attempt(ctx, c, id, member)
+		d.fleet.finished(time.Now(), c.service, id, end.result())
+		if end.answer != nil {
+			d.fleet.reported(c.service, id, end.answer.Load)
+		}
+		c.tried = append(c.tried, id)
+		last = &end
+		if end.answer == nil || end.answer.Reached {
+			reached++
+		} else {
+			moves++
+		}
+		again, reason := d.again(c, &end, reached, moves)
+		d.log.attempted(c, id, member, &end, reason)
+		if !again {
+			if end.response != nil {
+				return end.response, nil
+			}
+			return d.giveUp(c, last, reason)
+		}
+	}
+}
+
+// rand returns a random source of its own for one choice.
+func (d *dispatcher) rand() *rand.Rand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return rand.New(rand.NewPCG(d.rng.Uint64(), 1))
+}
+
+// again decides whether a call is sent to another upstream.
+func (d *dispatcher) again(c *call, end *attemptEnd, reached, moves int) (again bool, reason string) {
+	left := time.Until(c.deadline)
+	switch {
+	case end.abandoned:
+		return false, "caller-gone-or-timeout"
+	case end.response != nil && end.response.Status < http.StatusInternalServerError:
+		return false, "answered"
+	case end.response != nil && end.response.Status == http.StatusGatewayTimeout:
+		return false, "answered"
+	case left < minRepeatTime:
+		return false, "no-time-left"
+	}
+	notExecuted := end.refusal != nil && end.refusal.Executed == problem.ExecutedNo
+	switch {
+	case end.refusal != nil && end.refusal.Kind == problem.KindDeadline:
+		return false, "no-time-left"
+	case !notExecuted && !c.idempotent:
+		return false, "must-not-run-twice"
+	case notExecuted && !end.answerReached():
+		return moves < maxMoves, "not-reached"
+	case reached >= max(1, c.attempts):
+		return false, "attempts-spent"
+	case !d.spend(c.service):
+		return false, "repeat-budget-spent"
+	}
+	return true, "repeat"
+}
+
+func (e *attemptEnd) answerReached() bool { return e.answer != nil && e.answer.Reached }
+
+// giveUp returns the end of a call without a successful answer.
+func (d *dispatcher) giveUp(c *call, last *attemptEnd, detail string) (*wire.Response, *problem.Problem) {
+	switch {
+	case last == nil:
+		return nil, problem.New(problem.KindNoUpstream, detail).WithRetryAfter(refusedRetry)
+	case last.response != nil:
+		return last.response, nil
+	}
+	return nil, last.refusal
+}
+
+// firstAttempt counts a call for the repeat budget of its service.
+func (d *dispatcher) firstAttempt(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(repeatRatio)
+		d.budgets[service] = b
+	}
+	b.FirstAttempt()
+}
+
+// spend takes one repeat from the budget of a service.
+func (d *dispatcher) spend(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budgets[service].Take()
+}
+
+// newID returns an id that no other attempt in the fleet has.
+func (d *dispatcher) newID() wire.AttemptID {
+	var id wire.AttemptID
+	d.mu.Lock()
+	d.counter++
+	copy(id[:8], d.prefix[:])
+	binary.BigEndian.PutUint64(id[8:], d.counter)
+	d.mu.Unlock()
+	return id
+}
+
+// attempt sends one attempt and waits for its end.
+func (d *dispatcher) attempt(ctx context.Context, c *call, server string, member memberAddress) attemptEnd {
+	message := &wire.Attempt{
+		ID: d.newID(), Route: c.route, Pool: c.service, Server: server,
+		Context: wire.Context{
+			Workspace: c.workspace, Importance: c.importance, Idempotent: c.idempotent,
+			RemainingMS: uint32(max(0, time.Until(c.deadline).Milliseconds())),
+		},
+		Request: c.request, RequestID: c.requestID, Origin: c.origin,
+	}
+	w := &waiter{done: make(chan attemptEnd, 1)}
+	if member.self {
+		d.register(message.ID, w)
+		d.local.handle(d, message)
+		return d.wait(ctx, message.ID, w, nil)
+	}
+	link, err := d.hub.Link(ctx, member.name, member.address)
+	if err != nil {
+		d.fleet.unreachable(time.Now(), member.name)
+		return notSent("no link to " + member.name + ": " + err.Error())
+	}
+	w.link = link.Number()
+	d.register(message.ID, w)
+	if err := link.Send(message); err != nil {
+		d.forget(message.ID)
+		return notSent("link to " + member.name + ": " + err.Error())
+	}
+	return d.wait(ctx, message.ID, w, link)
+}
+
+func notSent(detail string) attemptEnd {
+	refusal := problem.New(problem.KindNoUpstream, detail).WithRetryAfter(refusedRetry)
+	return attemptEnd{refusal: refusal, answer: &wire.Answer{}}
+}
+
+func (d *dispatcher) register(id wire.AttemptID, w *waiter) {
+	d.mu.Lock()
+	d.waiters[id] = w
+	d.mu.Unlock()
+}
+
+func (d *dispatcher) forget(id wire.AttemptID) {
+	d.mu.Lock()
+	delete(d.waiters, id)
+	d.mu.Unlock()
+}
+
+// wait returns the end of an attempt. If the caller leaves or the time is over,
+// the attempt is abandoned and its outcome is unknown.
+func (d *dispatcher) wait(ctx context.Context, id wire.AttemptID, w *waiter, link peer.Link) attemptEnd {
+	select {
+	case end := <-w.done:
+		return end
+	case <-ctx.Done():
+	}
+	d.forget(id)
+	if link == nil {
+		d.local.abandon(id)
+	} else {
+		_ = link.Send(&wire.Cancel{ID: id}) // a link that has ended abandons its attempts by itself
+	}
+	return attemptEnd{abandoned: true, refusal: problem.Unknown(problem.KindDeadline, "no answer within the request's time")}
+}
+
+// deliver takes an answer from a link or from the own executor.
+func (d *dispatcher) deliver(answer *wire.Answer) {
+	d.mu.Lock()
+	w, ok := d.waiters[answer.ID]
+	delete(d.waiters, answer.ID)
+	d.mu.Unlock()
+	if !ok {
+		return // abandoned before
+	}
+	end := attemptEnd{response: answer.Response, answer: answer}
+	if r := answer.Refusal; r != nil {
+		end.refusal = &problem.Problem{Kind: problem.Kind(r.Kind), Executed: problem.Executed(r.Executed), Detail: r.Detail,
+			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond}
+	}
+	w.done <- end
+}
+
+// linkLost ends the attempts that were sent on a link.
+func (d *dispatcher) linkLost(number uint64, reason string) {
+	var lost []*waiter
+	d.mu.Lock()
+	for id, w := range d.waiters {
+		if w.link == number {
+			lost = append(lost, w)
+			delete(d.waiters, id)
+		}
+	}
+	d.mu.Unlock()
+	for _, w := range lost {
+		w.done <- attemptEnd{refusal: problem.Unknown(problem.KindUpstreamFailed, "the link ended: "+reason)}
+	}
+}
+
+// waiting returns the number of attempts that wait for an answer.
+func (d *dispatcher) waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiters)
+}
+
+// result classifies the end of an attempt for the choice of upstreams.
+func (e *attemptEnd) result() placement.Result {
+	switch {
+	case e.abandoned:
+		return placement.Abandoned
+	case e.response != nil && e.response.Status < http.StatusInternalServerError:
+		return placement.Succeeded
+	case e.answer != nil && !e.answer.Reached:
+		return placement.Refused
+	case e.refusal != nil && e.refusal.Kind == problem.KindDeadline:
+		return placement.Abandoned
+	case e.response != nil && e.response.Status == http.StatusGatewayTimeout:
+		return placement.Abandoned
+	}
+	return placement.Failed
+}
--- /dev/null
+++ b/internal/process/agent/fleet.go
@@ -0,0 +1,347 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/rateshare"
+	"tarragonshore.example/tarragonshore/internal/request/placement"
+	"tarragonshore.example/tarragonshore/internal/request/shedding"
+	"tarragonshore.example/tarragonshore/internal/version/catalog"
+)
+
+const (
+	// silentTime is the time without a status after which a member gets no new
+	// attempts, if others are left.
+	silentTime = 1800 * time.Millisecond
+	// heldTime is the time without a status for which a member keeps its part of
+	// the rates. By then it has refused keyed requests for want of the store, or
+	// its process has ended.
+	heldTime = 5 * time.Second
+	// unreachablePause is the time for which a member gets no new attempts after
+	// a connection to it failed.
+	unreachablePause = 500 * time.Millisecond
+	// settlingTime is the time after the start in which members that have sent no
+	// status yet count as ones that may serve.
+	settlingTime = 2 * time.Second
+)
+
+// member is another daemon, or this one.
+type member struct {
+	name        string
+	address     string
+	self        bool
+	status      wire.Status
+	heard       time.Time // zero: never
+	unreachable time.Time // no new attempts until then
+	usable      bool      // as of the last look
+}
+
+// memberAddress says where the daemon beside an upstream is.
+type memberAddress struct {
+	name    string
+	address string
+	self    bool
+}
+
+// fleet is this daemon's view of all daemons: where they are, what they
+// report, and what follows for placement, shedding and rates. Its lock guards
+// all fields below it and is a leaf: no other lock is taken while it is held.
+type fleet struct {
+	self string
+
+	mu      sync.Mutex
+	started time.Time
+	members map[string]*member
+	tables  map[string]*placement.Table
+	servers map[string]string // upstream to member
+	plan    *shedding.Plan
+	shares  *rateshare.Shares
+	// arrivals counts the callers' requests that entered here.
+	arrivals map[arrival]*shedding.Rate
+}
+
+type arrival struct {
+	route      string
+	importance uint8
+}
+
+func newFleet(self string) *fleet {
+	return &fleet{
+		self: self, started: time.Now(),
+		members: make(map[string]*member), tables: make(map[string]*placement.Table), servers: make(map[string]string),
+		plan: shedding.NewPlan(shedding.DefaultOptions), shares: rateshare.New(),
+		arrivals: make(map[arrival]*shedding.Rate),
+	}
+}
+
+// know adds a member that the directory names. It returns true if it is new.
+func (f *fleet) know(a Address) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[a.Member]
+	if m == nil {
+		f.members[a.Member] = &member{name: a.Member, address: a.Peer, self: a.Member == f.self}
+		return a.Member != f.self
+	}
+	if m.heard.IsZero() {
+		m.address = a.Peer
+	}
+	return false
+}
+
+// hear takes a status. It returns true if the sender was not known or had
+// fallen silent.
+func (f *fleet) hear(now time.Time, s *wire.Status) (fresh bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[s.Member]
+	if m == nil {
+		m = &member{name: s.Member, self: s.Member == f.self}
+		f.members[s.Member] = m
+	}
+	silent := now.Sub(m.heard) > silentTime
+	switch {
+	case s.Incarnation == m.status.Incarnation && s.Number <= m.status.Number,
+		s.Incarnation < m.status.Incarnation && !silent:
+		return false
+	}
+	fresh = silent || s.Incarnation != m.status.Incarnation
+	former := m.status.Service
+	m.status, m.address, m.heard, m.unreachable = *s, s.Address, now, time.Time{}
+	f.look(now)
+	if former != "" && former != s.Service {
+		f.rebuild(now, former)
+	}
+	if s.Service != "" {
+		f.rebuild(now, s.Service)
+	}
+	return fresh
+}
+
+// look notes which members have become usable or stopped to be, and rebuilds
+// the tables of their services.
+func (f *fleet) look(now time.Time) {
+	for _, m := range f.members {
+		if usable := m.takesWork(now); usable != m.usable {
+			m.usable = usable
+			logging.Event("fleet", "member", "member", m.name, "server", m.status.Server, "service", m.status.Service,
+				"usable", usable, "phase", int(m.status.Phase), "leaving", m.status.Leaving, "silent_ms", now.Sub(m.heard).Milliseconds())
+			if m.status.Service != "" {
+				f.rebuild(now, m.status.Service)
+			}
+		}
+	}
+}
+
+func (m *member) takesWork(now time.Time) bool {
+	return !m.heard.IsZero() && now.Sub(m.heard) <= silentTime && !now.Before(m.unreachable) &&
+		!m.status.Leaving && m.status.Phase.Usable()
+}
+
+// rebuild updates the candidates of a service.
+func (f *fleet) rebuild(now time.Time, service string) {
+	var upstreams []placement.Upstream
+	for _, m := range f.members {
+		if m.status.Service != service || !m.takesWork(now) {
+			continue
+		}
+		f.servers[m.status.Server] = m.name
+		upstreams = append(upstreams, placement.Upstream{
+			ID: m.status.Server, Local: m.self, Warming: m.status.Phase == wire.ServerWarming,
+			Load: loadOf(&m.status.Load), Number: m.status.Load.Number,
+		})
+	}
+	table := f.tables[service]
+	if table == nil {
+		table = &placement.Table{}
+		f.tables[service] = table
+	}
+	table.Update(upstreams)
+}
+
+func loadOf(l *wire.Load) placement.Load {
+	return placement.Load{Running: l.Running, Waiting: l.Waiting, Limit: l.Limit, Service: l.Service}
+}
+
+// pick chooses an upstream of a service and counts the attempt.
+func (f *fleet) pick(now time.Time, rng *rand.Rand, service string, tried []string) (server string, m memberAddress, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	table := f.tables[service]
+	if table == nil {
+		return "", m, false
+	}
+	server, ok = table.Pick(now, rng, tried)
+	if !ok {
+		return "", m, false
+	}
+	owner := f.members[f.servers[server]]
+	if owner == nil {
+		return "", m, false
+	}
+	table.Started(server)
+	return server, memberAddress{name: owner.name, address: owner.address, self: owner.self}, true
+}
+
+// finished ends an attempt.
+func (f *fleet) finished(now time.Time, service, server string, result placement.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if table := f.tables[service]; table != nil {
+		table.Finished(now, server, result)
+	}
+}
+
+// reported takes the load that came with an answer.
+func (f *fleet) reported(service, server string, load *wire.Load) {
+	if load == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if table := f.tables[service]; table != nil {
+		table.Report(server, load.Number, loadOf(load))
+	}
+}
+
+// unreachable notes that a connection to a member failed.
+func (f *fleet) unreachable(now time.Time, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[name]; m != nil {
+		m.unreachable = now.Add(unreachablePause)
+		f.look(now)
+	}
+}
+
+// addresses returns where the statuses of this daemon go.
+func (f *fleet) addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, m := range f.members {
+		if !m.self && m.address != "" {
+			list = append(list, m.address)
+		}
+	}
+	return list
+}
+
+// take asks for one token of a workspace's rate.
+func (f *fleet) take(now time.Time, workspace string, limit rateshare.Limit) (ok bool, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shares.Take(now, workspace, limit, f.counting(now))
+}
+
+// counting returns the number of members that may be serving, with this one.
+func (f *fleet) counting(now time.Time) int {
+	n := 1
+	for _, m := range f.members {
+		if !m.self && f.mayServe(now, m) {
+			n++
+		}
+	}
+	return n
+}
+
+// mayServe reports whether a member may be admitting requests.
+func (f *fleet) mayServe(now time.Time, m *member) bool {
+	if m.heard.IsZero() {
+		return now.Sub(f.started) < settlingTime
+	}
+	return now.Sub(m.heard) < heldTime
+}
+
+// enter counts a caller's request and decides whether its tree may start.
+func (f *fleet) enter(route string, importance uint8) (admitted bool, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := arrival{route, importance}
+	r := f.arrivals[a]
+	if r == nil {
+		r = &shedding.Rate{}
+		f.arrivals[a] = r
+	}
+	r.Add()
+	return f.plan.Admit(route, importance)
+}
+
+// forget drops what belongs to routes and workspaces of former versions.
+func (f *fleet) forget(c *catalog.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := map[string]bool{}
+	c.Routes(func(r *catalog.Route) { known[r.Name] = true })
+	for a := range f.arrivals {
+		if !known[a.route] {
+			delete(f.arrivals, a)
+		}
+	}
+}
+
+// minArrivals is the rate below which arrivals are not reported, per second.
+const minArrivals = 0.02
+
+// report ends an interval and returns the demands that entered here.
+func (f *fleet) report(interval time.Duration) (arrivals []shedding.Arrivals, demands map[string]float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a, r := range f.arrivals {
+		if rate := r.Tick(interval); rate >= minArrivals {
+			arrivals = append(arrivals, shedding.Arrivals{Route: a.route, Importance: a.importance, Rate: rate})
+		}
+	}
+	return arrivals, f.shares.Demands(interval)
+}
+
+// replan computes shedding plan and rate shares from the newest statuses.
+func (f *fleet) replan(now time.Time, c *catalog.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.look(now)
+	var reports []shedding.Report
+	var demands []map[string]float64
+	for _, m := range f.members {
+		if !m.heard.IsZero() && now.Sub(m.heard) <= silentTime {
+			reports = append(reports, reportOf(m, now))
+		}
+		if !m.self && f.mayServe(now, m) {
+			demands = append(demands, demandsOf(m))
+		}
+	}
+	f.plan.Update(reports, c.SharesOf)
+	f.shares.Divide(now, demands, func(workspace string) rateshare.Limit { return limitOf(c, workspace) })
+}
+
+func reportOf(m *member, now time.Time) shedding.Report {
+	r := shedding.Report{Arrivals: m.status.Arrivals}
+	if m.takesWork(now) {
+		r.Service, r.Limit, r.Wait, r.Runs = m.status.Service, m.status.Load.Limit, m.status.Wait, m.status.Runs
+	}
+	return r
+}
+
+// demandsOf returns the demands of a member; nil if it has not told them.
+func demandsOf(m *member) map[string]float64 {
+	if m.heard.IsZero() {
+		return nil
+	}
+	if m.status.Demands == nil {
+		return map[string]float64{}
+	}
+	return m.status.Demands
+}
+
+// limitOf returns the rate of a workspace, unlimited if it is unknown.
+func limitOf(c *catalog.Catalog, workspace string) rateshare.Limit {
+	w, ok := c.Workspace(workspace)
+	if !ok {
+		return rateshare.Limit{}
+	}
+	return rateshare.Limit{Rate: w.Rate, Burst: w.Burst}
+}
--- /dev/null
+++ b/internal/process/agent/tables.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/version/catalog"
+)
+
+const (
+	// pollWait is the wait of a long poll. A withdrawn key must stop working
+	// within the platform's bound, so that each daemon has to know every few
+	// seconds that nothing was published.
+	pollWait = time.Second
+	// storeTimeout bounds a call to the store without the wait of a long poll.
+	storeTimeout = 900 * time.Millisecond
+	// storePause is the pause after a failed call.
+	storePause = 150 * time.Millisecond
+	// certainAge is the age of the last read up to which "unknown key" and "no
+	// route" are said: a version that is a little newer may have them.
+	certainAge = 2500 * time.Millisecond
+	// readyAge is the age of the last read up to which the daemon asks for callers.
+	readyAge = 2500 * time.Millisecond
+	// transitMargin is left of the bound for withdrawn keys for a request's way
+	// from its caller to the check.
+	transitMargin = 500 * time.Millisecond
+)
+
+// bootTime returns the time since the host's start. Unlike the monotonic clock
+// it goes on while the process or the host is suspended, when others publish.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Duration(time.Now().UnixNano()) // only on systems without the clock
+	}
+	return time.Duration(t.Nano())
+}
+
+// published holds the version in force and when the store last confirmed it.
+type published struct {
+	store   Store
+	trust   time.Duration // age of the last read up to which keys count
+	current atomic.Pointer[catalog.Catalog]
+	// confirmed is the bootTime at the start of the last successful read.
+	confirmed atomic.Int64
+	onChange  func(*catalog.Catalog)
+}
+
+func newPublished(store Store, revokeBound time.Duration) *published {
+	return &published{store: store, trust: revokeBound - transitMargin, onChange: func(*catalog.Catalog) {}}
+}
+
+// catalog returns the version in force, nil if none is known.
+func (p *published) catalog() *catalog.Catalog { return p.current.Load() }
+
+// version returns the number of the version in force, 0 if none is known.
+func (p *published) version() catalog.Version {
+	if c := p.catalog(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+// age returns the time since the start of the last successful read.
+func (p *published) age() time.Duration {
+	confirmed := p.confirmed.Load()
+	if confirmed == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return bootTime() - time.Duration(confirmed)
+}
+
+// watch follows the publications until ctx ends.
+func (p *published) watch(ctx context.Context) {
+	var next Offset
+	known := false
+	lost := false
+	for ctx.Err() == nil {
+		begun := bootTime()
+		publication, err := p.read(ctx, known, next)
+		if errors.Is(err, ErrHistoryLost) {
+			logging.Event("tables", "history-lost", "offset", uint64(next))
+			known = false
+			continue
+		}
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				lost = true
+				logging.WarningEvent("tables", "store-lost", "error", err, "version", uint64(p.version()))
+			}
+			pause(ctx, storePause)
+			continue
+		}
+		if lost {
+			lost = false
+			logging.Event("tables", "store-regained", "version", uint64(p.version()), "age_ms", p.age().Milliseconds())
+		}
+		next, known = publication.Next, true
+		p.apply(publication.Content)
+		p.confirmed.Store(int64(begun))
+	}
+}
+
+func (p *published) read(ctx context.Context, known bool, next Offset) (Publication, error) {
+	if !known {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		return p.store.Newest(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollWait+storeTimeout)
+	defer cancel()
+	return p.store.Next(ctx, next, pollWait)
+}
+
+// apply puts a newer version in force. An unusable one leaves the former in force.
+func (p *published) apply(content *catalog.Content) {
+	if content == nil || content.Version <= p.version() {
+		return
+	}
+	next, err := catalog.New(*content)
+	if err != nil {
+		logging.ErrorEvent("tables", "version-rejected", err, "version", uint64(content.Version), "in_force", uint64(p.version()))
+		return
+	}
+	logging.Event("tables", "version-in-force", "version", uint64(content.Version), "former", uint64(p.version()), "routes", len(content.Routes))
+	p.current.Store(next)
+	p.onChange(next)
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/process/logging/limit.go
@@ -0,0 +1,37 @@
+package logging
+
+import (
+	"sync"
+	"time"
+)
+
+// Limiter bounds the lines of one kind of event per second. It is safe for
+// concurrent use.
+type Limiter struct {
+	perSecond int
+
+	mu      sync.Mutex
+	second  int64
+	written int
+	dropped int
+}
+
+// NewLimiter returns a limiter of perSecond lines.
+func NewLimiter(perSecond int) *Limiter { return &Limiter{perSecond: perSecond} }
+
+// Allow reports whether another line may be written at now. dropped is the
+// number of lines that were held back since the last one that was written.
+func (l *Limiter) Allow(now time.Time) (ok bool, dropped int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if second := now.Unix(); second != l.second {
+		l.second, l.written = second, 0
+	}
+	if l.written >= l.perSecond {
+		l.dropped++
+		return false, 0
+	}
+	l.written++
+	dropped, l.dropped = l.dropped, 0
+	return true, dropped
+}
--- /dev/null
+++ b/internal/process/settings/agent.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+)
+
+// Agent holds the settings of tarragon-agent.
+type Agent struct {
+	Name    string
+	Zone    string
+	Service string
+	Listen  struct {
+		Caller, Ready, Announce, Peer, Admin netip.AddrPort
+	}
+	Backend struct {
+		Address           netip.AddrPort
+		HeartbeatInterval time.Duration
+	}
+	Platform struct {
+		Address     netip.AddrPort
+		RevokeBound time.Duration
+	}
+	Log struct {
+		Level string
+	}
+}
+
+// LoadAgent loads the settings of tarragon-agent. The error is of type Errors.
+func LoadAgent(path string, environment []string) (*Agent, error) {
+	var a Agent
+	return &a, agentSet(&a).Load(path, environment)
+}
+
+// AgentReference returns the settings of tarragon-agent as a Markdown table.
+func AgentReference() string { return agentSet(&Agent{}).Reference() }
+
+func agentSet(a *Agent) *Set {
+	return &Set{Settings: []Setting{
+		name("agent", "name", &a.Name, "Member name, unique in the fleet and stable over restarts."),
+		name("agent", "zone", &a.Zone, "Availability zone of the host."),
+		name("agent", "service", &a.Service, "Service of the host's backend server, until it announces itself."),
+
+		address("listen", "caller", &a.Listen.Caller, "", true, "Port for the host's callers and for the calls of its backend server."),
+		address("listen", "ready", &a.Listen.Ready, "", true, "Port on which the platform asks whether callers should come."),
+		address("listen", "announce", &a.Listen.Announce, "", true, "Port for the announcements of the host's backend server."),
+		address("listen", "peer", &a.Listen.Peer, "", true, "TCP and UDP port for other daemons."),
+		address("listen", "admin", &a.Listen.Admin, "", true, "Port for metrics."),
+
+		address("backend", "address", &a.Backend.Address, "", true, "Address of the host's backend server. Announcements that name another one are not used."),
+		duration("backend", "heartbeat_interval", &a.Backend.HeartbeatInterval, "1500ms", 100*time.Millisecond, 10*time.Second, "Expected time between announcements of the backend server. Longer: a silent failure is seen later; shorter: a busy server may be taken for ended."),
+
+		address("platform", "address", &a.Platform.Address, "", true, "Address of the platform's store."),
+		duration("platform", "revoke_bound", &a.Platform.RevokeBound, "5s", 2*time.Second, 10*time.Minute, "Time after which a withdrawn key must not work. Keyed requests are refused when the store has not confirmed the tables for nearly that long. Longer: keyed requests survive longer outages of the store."),
+
+		choice("log", "level", &a.Log.Level, "info", logging.Levels, "Lowest level that is logged."),
+	}}
+}
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -44,6 +44,15 @@
 // Tokens returns the number of retries that the budget allows now.
 func (b *Budget) Tokens() float64 { return float64(b.level) / micro }
 
+// Take takes the token of a retry. It returns false if there is none.
+func (b *Budget) Take() bool {
+	if !b.allows() {
+		return false
+	}
+	b.spend()
+	return true
+}
+
 // allows tells whether a retry is within the budget.
 func (b *Budget) allows() bool { return b.level >= micro }
 
--- /dev/null
+++ b/internal/request/shedding/shedding.go
@@ -0,0 +1,315 @@
+// Package shedding decides at the entry which requests the fleet can carry.
+//
+// Load pattern: one service deep in the call graph is the bottleneck. Each
+// request of a caller makes many calls there, by way of services that have
+// room. When the deep service turns calls away, the work that was done for the
+// rest of the tree is lost, and goodput collapses although most servers are
+// idle. A request is therefore refused where it enters, before any work is
+// done, if the tightest service behind its route has no room for its tree.
+//
+// Every daemon reports the requests that enter at it, and the work and the
+// calls of the runs at its own backend server. From the reports each daemon
+// computes the same plan: the load of every service as the sum over all trees,
+// and, where that is over the capacity, the share of each importance that may
+// enter. Important requests come first; each importance keeps a floor, so that
+// no kind of request starves.
+//
+// The types are pure state machines and not safe for concurrent use.
+package shedding
+
+import (
+	"slices"
+	"time"
+)
+
+// Calls says how often a run of a route calls another route.
+type Calls struct {
+	Route  string  `cbor:"1,keyasint"`
+	PerRun float64 `cbor:"2,keyasint"`
+}
+
+// RunReport describes the runs of one route at one backend server.
+type RunReport struct {
+	Route string `cbor:"1,keyasint"`
+	// Rate is in runs per second.
+	Rate float64 `cbor:"2,keyasint"`
+	// Work is the mean time at the backend server.
+	Work  time.Duration `cbor:"3,keyasint"`
+	Calls []Calls       `cbor:"4,keyasint,omitempty"`
+}
+
+// Arrivals is the rate of callers' requests of one route and importance.
+type Arrivals struct {
+	Route      string  `cbor:"1,keyasint"`
+	Importance uint8   `cbor:"2,keyasint"`
+	Rate       float64 `cbor:"3,keyasint"`
+}
+
+// Report is what one daemon contributes to the plan.
+type Report struct {
+	Arrivals []Arrivals
+	Service  string // of its backend server; "" if it has none in service
+	Limit    int    // requests that its backend server may run at once
+	Wait     time.Duration
+	Runs     []RunReport
+}
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	Part    float64
+}
+
+// Routes looks up where a route's requests go; nil if the route is unknown.
+type Routes func(route string) []Share
+
+// Options are the figures of a plan.
+type Options struct {
+	// Target is the share of a service's capacity that is planned for. Higher:
+	// more goodput and longer queues; lower: room for bursts.
+	Target float64
+	// Floor is the share of each importance that enters before a more important
+	// one gets all that it asks for.
+	Floor float64
+	// WaitTarget is the mean queueing time at a service above which its planned
+	// capacity is lowered.
+	WaitTarget time.Duration
+}
+
+// DefaultOptions suit call chains of a few levels with timeouts of about a second.
+var DefaultOptions = Options{Target: 0.95, Floor: 0.25, WaitTarget: 30 * time.Millisecond}
+
+const (
+	// maxDepth bounds the depth of a tree.
+	maxDepth = 10
+	// minVisits ends the expansion of a branch that few requests take.
+	minVisits = 0.01
+	// Bounds of the correction of a capacity, and its change per plan.
+	minCorrection   = 0.5
+	maxCorrection   = 1.1
+	correctionUp    = 0.02
+	correctionDown  = 0.03
+	maxWaitMultiple = 4.0
+)
+
+type class struct {
+	route      string
+	importance uint8
+}
+
+// Plan says which share of the requests may enter.
+type Plan struct {
+	options    Options
+	correction map[string]float64
+	shares     map[class]float64
+	tightest   map[class]string
+	// owed adds up the admitted shares, so that the requests that enter are
+	// spread evenly over those that ask.
+	owed map[class]float64
+}
+
+// NewPlan returns a plan that admits everything.
+func NewPlan(options Options) *Plan {
+	return &Plan{options: options, correction: map[string]float64{}, shares: map[class]float64{}, owed: map[class]float64{}}
+}
+
+// Admit decides about one request. service names the tightest service behind a
+// refused request.
+func (p *Plan) Admit(route string, importance uint8) (admitted bool, service string) {
+	c := class{route, importance}
+	share, limited := p.shares[c]
+	if !limited {
+		return true, ""
+	}
+	p.owed[c] += share
+	if p.owed[c] >= 1 {
+		p.owed[c]--
+		return true, ""
+	}
+	return false, p.tightest[c]
+}
+
+// Share returns the share of a route's requests that may enter.
+func (p *Plan) Share(route string, importance uint8) float64 {
+	if share, limited := p.shares[class{route, importance}]; limited {
+		return share
+	}
+	return 1
+}
+
+// serviceState sums the reports about one service.
+type serviceState struct {
+	capacity float64 // requests at once
+	wait     float64 // seconds, weighted by capacity
+	runs     map[string]*runState
+}
+
+// runState sums the reports about the runs of one route at one service.
+type runState struct {
+	rate  float64
+	work  float64            // seconds per run, weighted by rate
+	calls map[string]float64 // calls per run, weighted by rate
+}
+
+// Update computes the plan from the newest reports of all daemons.
+func (p *Plan) Update(reports []Report, routes Routes) {
+	services := summarize(reports)
+	arrivals := map[class]float64{}
+	for _, report := range reports {
+		for _, a := range report.Arrivals {
+			arrivals[class{a.Route, a.Importance}] += a.Rate
+		}
+	}
+	costs := map[string]map[string]float64{} // by route, then by service
+	for c := range arrivals {
+		if costs[c.route] == nil {
+			costs[c.route] = map[string]float64{}
+			expand(services, routes, c.route, 1, 0, costs[c.route])
+		}
+	}
+	p.correct(services)
+	shares, tightest := map[class]float64{}, map[class]string{}
+	for name, service := range services {
+		budget := service.capacity * p.options.Target * p.correction[name]
+		for c, share := range p.allot(budget, arrivals, costs, name) {
+			if old, limited := shares[c]; !limited || share < old {
+				shares[c], tightest[c] = share, name
+			}
+		}
+	}
+	for c := range p.owed {
+		if _, limited := shares[c]; !limited {
+			delete(p.owed, c)
+		}
+	}
+	p.shares, p.tightest = shares, tightest
+}
+
+// summarize adds up the reports by service.
+func summarize(reports []Report) map[string]*serviceState {
+	services := map[string]*serviceState{}
+	for _, report := range reports {
+		if report.Service == "" || report.Limit == 0 {
+			continue
+		}
+		s := services[report.Service]
+		if s == nil {
+			s = &serviceState{runs: map[string]*runState{}}
+			services[report.Service] = s
+		}
+		s.capacity += float64(report.Limit)
+		s.wait += float64(report.Limit) * report.Wait.Seconds()
+		for _, run := range report.Runs {
+			s.add(run)
+		}
+	}
+	for _, s := range services {
+		s.wait /= s.capacity
+		for _, run := range s.runs {
+			run.work /= run.rate
+			for called := range run.calls {
+				run.calls[called] /= run.rate
+			}
+		}
+	}
+	return services
+}
+
+func (s *serviceState) add(report RunReport) {
+	if report.Rate <= 0 {
+		return
+	}
+	run := s.runs[report.Route]
+	if run == nil {
+		run = &runState{calls: map[string]float64{}}
+		s.runs[report.Route] = run
+	}
+	run.rate += report.Rate
+	run.work += report.Rate * report.Work.Seconds()
+	for _, call := range report.Calls {
+		run.calls[call.Route] += report.Rate * call.PerRun
+	}
+}
+
+// expand adds the work of a tree to the costs of the services that it visits,
+// in seconds of a slot.
+func expand(services map[string]*serviceState, routes Routes, route string, visits float64, depth int, costs map[string]float64) {
+	if depth > maxDepth || visits < minVisits {
+		return
+	}
+	for _, share := range routes(route) {
+		service := services[share.Service]
+		if service == nil {
+			continue
+		}
+		run := service.runs[route]
+		if run == nil {
+			continue
+		}
+		part := visits * share.Part
+		costs[share.Service] += part * run.work
+		for called, perRun := range run.calls {
+			expand(services, routes, called, part*perRun, depth+1, costs)
+		}
+	}
+}
+
+// correct adapts the planned capacities to the queueing times that were seen.
+func (p *Plan) correct(services map[string]*serviceState) {
+	for name, service := range services {
+		c, known := p.correction[name]
+		if !known {
+			c = 1
+		}
+		if excess := service.wait / p.options.WaitTarget.Seconds(); excess > 1 {
+			c -= correctionDown * min(excess, maxWaitMultiple)
+		} else {
+			c += correctionUp
+		}
+		p.correction[name] = min(max(c, minCorrection), maxCorrection)
+	}
+	for name := range p.correction {
+		if services[name] == nil {
+			delete(p.correction, name)
+		}
+	}
+}
+
+// allot divides a service's budget: first the floors, then by importance. It
+// returns the shares of the classes that do not get all that they ask for.
+func (p *Plan) allot(budget float64, arrivals map[class]float64, costs map[string]map[string]float64, service string) map[class]float64 {
+	demand := map[uint8]float64{}
+	total := 0.0
+	for c, rate := range arrivals {
+		load := rate * costs[c.route][service]
+		demand[c.importance] += load
+		total += load
+	}
+	if total <= budget {
+		return nil
+	}
+	order := make([]uint8, 0, len(demand))
+	for importance := range demand {
+		order = append(order, importance)
+	}
+	slices.Sort(order)
+	floor := min(p.options.Floor, budget/total)
+	left := budget - floor*total
+	granted := map[uint8]float64{}
+	for _, importance := range order {
+		want := demand[importance] * (1 - floor)
+		extra := min(want, left)
+		left -= extra
+		granted[importance] = floor
+		if demand[importance] > 0 {
+			granted[importance] += extra / demand[importance]
+		}
+	}
+	shares := map[class]float64{}
+	for c := range arrivals {
+		if share := granted[c.importance]; share < 1 && costs[c.route][service] > 0 {
+			shares[c] = share
+		}
+	}
+	return shares
+}
