Divide one bucket of a workspace by demand, and rank by workspace before route

All daemons now tell what they admitted, and each takes its part of the one bucket. Ruled out: a keeper for each workspace, which is lost with its process.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -324,12 +324,21 @@
 	// Runs and Arrivals are the inputs of the shedding plan.
 	Runs     []shedding.RunReport `cbor:"12,keyasint,omitempty"`
 	Arrivals []shedding.Arrivals  `cbor:"13,keyasint,omitempty"`
-	// Demands is the rate of requests by workspace.
-	Demands map[string]float64 `cbor:"14,keyasint,omitempty"`
+	// Uses is what was asked and admitted here, by workspace.
+	Uses []WorkspaceUse `cbor:"14,keyasint,omitempty"`
 	// Catalog is the version of the tables in force at the sender.
 	Catalog uint64 `cbor:"15,keyasint,omitempty"`
 }
 
+// WorkspaceUse is what a daemon reports about one workspace.
+type WorkspaceUse struct {
+	Workspace string `cbor:"1,keyasint"`
+	// Demand is the rate of requests, admitted or not, per second.
+	Demand float64 `cbor:"2,keyasint"`
+	// Admitted counts the requests admitted since the daemon's start.
+	Admitted uint64 `cbor:"3,keyasint"`
+}
+
 // Type implements Message.
 func (Status) Type() Type { return TypeStatus }
 
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -14,6 +14,7 @@
 	"tarragonshore.example/tarragonshore/internal/request/problem"
 	"tarragonshore.example/tarragonshore/internal/request/shedding"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
+	"tarragonshore.example/tarragonshore/internal/version/tables"
 )
 
 const (
@@ -164,7 +165,8 @@
 	if !ok {
 		return e.certain(q, problem.New(problem.KindRouteNotFound, "no route for "+r.Host+r.URL.Path))
 	}
-	q.route, q.importance = route, uint8(route.Importance)
+	q.route = route
+	q.importance = uint8(route.Importance) * uint8(tables.LeastImportance+1)
 	if route.Open || !c.Keyed() {
 		return nil
 	}
@@ -176,10 +178,18 @@
 		return e.certain(q, problem.New(problem.KindKeyUnknown, "the key is not in the tables"))
 	}
 	q.workspace = workspace.Name
+	q.importance = rank(workspace, route)
+	return nil
+}
+
+// rank orders the requests of keyed routes under overload: by the importance of
+// the workspace, if it has one, and then by that of the route.
+func rank(workspace *catalog.Workspace, route *catalog.Route) uint8 {
+	first := route.Importance
 	if workspace.HasImportance {
-		q.importance = uint8(workspace.Importance)
+		first = workspace.Importance
 	}
-	return nil
+	return uint8(first)*uint8(tables.LeastImportance+1) + uint8(route.Importance)
 }
 
 // certain returns a final refusal if the tables are known to be current, and
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -288,7 +288,7 @@
 const minArrivals = 0.02
 
 // report ends an interval and returns the demands that entered here.
-func (f *fleet) report(interval time.Duration) (arrivals []shedding.Arrivals, demands map[string]float64) {
+func (f *fleet) report(interval time.Duration) (arrivals []shedding.Arrivals, uses []wire.WorkspaceUse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for a, r := range f.arrivals {
@@ -296,7 +296,7 @@
 			arrivals = append(arrivals, shedding.Arrivals{Route: a.route, Importance: a.importance, Rate: rate})
 		}
 	}
-	return arrivals, f.shares.Demands(interval)
+	return arrivals, f.shares.Uses(interval)
 }
 
 // replan computes shedding plan and rate shares from the newest statuses.
@@ -305,17 +305,17 @@
 	defer f.mu.Unlock()
 	f.look(now)
 	var reports []shedding.Report
-	var demands []map[string]float64
+	var members []rateshare.Member
 	for _, m := range f.members {
 		if !m.heard.IsZero() && now.Sub(m.heard) <= silentTime {
 			reports = append(reports, reportOf(m, now))
 		}
 		if !m.self && f.mayServe(now, m) {
-			demands = append(demands, demandsOf(m))
+			members = append(members, usesOf(m))
 		}
 	}
 	f.plan.Update(reports, c.SharesOf)
-	f.shares.Divide(now, demands, func(workspace string) rateshare.Limit { return limitOf(c, workspace) })
+	f.shares.Divide(now, members, func(workspace string) rateshare.Limit { return limitOf(c, workspace) })
 }
 
 func reportOf(m *member, now time.Time) shedding.Report {
@@ -326,15 +326,13 @@
 	return r
 }
 
-// demandsOf returns the demands of a member; nil if it has not told them.
-func demandsOf(m *member) map[string]float64 {
-	if m.heard.IsZero() {
-		return nil
-	}
-	if m.status.Demands == nil {
-		return map[string]float64{}
+// usesOf returns what a member reported about the workspaces.
+func usesOf(m *member) rateshare.Member {
+	r := rateshare.Member{Name: m.name, Incarnation: m.status.Incarnation}
+	if !m.heard.IsZero() {
+		r.Uses = append([]wire.WorkspaceUse{}, m.status.Uses...)
 	}
-	return m.status.Demands
+	return r
 }
 
 // limitOf returns the rate of a workspace, unlimited if it is unknown.
--- a/internal/process/agent/status.go
+++ b/internal/process/agent/status.go
@@ -58,7 +58,7 @@
 	defer a.statusMu.Unlock()
 	now := time.Now()
 	if interval > 0 {
-		a.last.Arrivals, a.last.Demands = a.fleet.report(interval)
+		a.last.Arrivals, a.last.Uses = a.fleet.report(interval)
 	}
 	a.last.Load, a.last.Wait, a.last.Runs = a.executor.report(interval)
 	view := a.server.view(now)
--- a/internal/process/rateshare/rateshare.go
+++ b/internal/process/rateshare/rateshare.go
@@ -1,38 +1,41 @@
 // Package rateshare divides a workspace's rate between the daemons by demand.
 //
-// Load pattern: the requests of a workspace enter at any host, in shifting
-// parts, and now and then at several times its rate. Each daemon reports its
-// own demand and admits its proportional part of rate and burst, so that the
-// parts of all daemons add up to the whole without a keeper that could fail:
-// after the loss of every process the next ones divide the rate again as soon
-// as they have heard of each other.
+// Load pattern: the requests of a workspace enter at any host, a few a second
+// at each and in shifting parts, and now and then at several times its rate.
+// Fixed parts would refuse requests at one host while tokens expire at others.
+// Therefore all daemons tell each other what they admitted; each keeps its own
+// copy of the workspace's one token bucket, and may take its part of what is in
+// there until the next report, proportional to its demand. The parts add up to
+// the whole without a keeper that could fail: after the loss of every process
+// the next ones divide the rate again as soon as they have heard of each other.
 //
-// A daemon that has fallen silent keeps its part for holdTime, since it may
-// still serve. Until then it has certainly stopped: a daemon that cannot read
-// the platform's store refuses keyed requests before that.
+// A daemon that has fallen silent keeps its part for as long as it may still
+// serve; the caller of Divide decides that.
 //
 // The types are pure state machines and not safe for concurrent use.
 package rateshare
 
 import (
+	"math"
 	"time"
 
-	"tarragonshore.example/tarragonshore/internal/request/shedding"
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
 )
 
 const (
 	// baseDemand is added to every daemon's demand, in requests per second, so
 	// that one with no demand yet can admit its first requests.
 	baseDemand = 0.3
-	// minTokens is the least capacity of a bucket.
-	minTokens = 1.5
-	// initialShare is the part of its capacity that a new bucket holds. A
-	// restart of the whole fleet must not bring a new burst.
+	// demandTime is the time constant of the smoothed demand.
+	demandTime = 2 * time.Second
+	// initialShare is the part of the burst that a new bucket holds. A restart of
+	// the whole fleet must not bring a new burst.
 	initialShare = 0.25
-	// maxWait bounds Retry-After.
-	maxWait = time.Second
-	// minWait is the least Retry-After.
+	// minReported is the demand below which none is reported, per second.
+	minReported = 0.02
+	// Bounds of Retry-After.
 	minWait = 100 * time.Millisecond
+	maxWait = time.Second
 )
 
 // Limit is the rate of one workspace over the whole fleet.
@@ -41,91 +44,116 @@
 	Burst float64 // requests
 }
 
+// Member is what another daemon reported.
+type Member struct {
+	Name        string
+	Incarnation uint64
+	// Uses is nil if it has not reported yet.
+	Uses []wire.WorkspaceUse
+}
+
+// seen is the last report of one member about one workspace.
+type seen struct {
+	incarnation uint64
+	admitted    uint64
+}
+
+// bucket is this daemon's copy of a workspace's bucket.
 type bucket struct {
-	tokens   float64
-	capacity float64
-	rate     float64 // of this daemon, tokens per second
+	limit    Limit
+	level    float64 // of the whole bucket, as of at
 	at       time.Time
-	demand   shedding.Rate
+	part     float64 // of this daemon, 0 to 1
+	taken    float64 // by this daemon since at
+	admitted uint64  // by this daemon since its start
+	asked    int
+	demand   float64
+	members  map[string]seen
 }
 
-// Shares holds this daemon's parts.
+// Shares holds this daemon's copies of the buckets.
 type Shares struct {
 	buckets map[string]*bucket
 }
 
-// New returns shares without any part.
+// New returns shares without any bucket.
 func New() *Shares { return &Shares{buckets: make(map[string]*bucket)} }
 
-// Take asks for one token of a workspace. wait is the time until one is due.
+// Take asks for one token of a workspace. members is the number of daemons that
+// may be admitting requests. wait is the time until a token is due.
 func (s *Shares) Take(now time.Time, workspace string, limit Limit, members int) (ok bool, wait time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
 	b := s.buckets[workspace]
 	if b == nil {
-		b = &bucket{at: now}
-		b.resize(limit, 1/float64(max(1, members)))
-		b.tokens = max(1, initialShare*b.capacity)
+		b = &bucket{limit: limit, at: now, level: initialShare * limit.Burst, part: 1 / float64(max(1, members)), members: map[string]seen{}}
+		b.level = max(b.level, 1/b.part) // the first request anywhere is admitted
 		s.buckets[workspace] = b
 	}
-	b.demand.Add()
-	b.fill(now)
-	if b.tokens >= 1 {
-		b.tokens--
+	b.asked++
+	flow := b.part * b.limit.Rate
+	available := b.part*b.level + flow*now.Sub(b.at).Seconds() - b.taken
+	if available >= 1 {
+		b.taken++
+		b.admitted++
 		return true, 0
 	}
-	wait = maxWait
-	if b.rate > 0 {
-		wait = time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
-	}
+	wait = time.Duration((1 - available) / max(flow, 1/maxWait.Seconds()) * float64(time.Second))
 	return false, min(max(wait, minWait), maxWait)
 }
 
-func (b *bucket) fill(now time.Time) {
-	elapsed := now.Sub(b.at).Seconds()
-	if elapsed > 0 {
-		b.tokens = min(b.capacity, b.tokens+elapsed*b.rate)
-		b.at = now
+// Uses ends an interval and returns what to report to the other daemons.
+func (s *Shares) Uses(interval time.Duration) []wire.WorkspaceUse {
+	weight := min(1, float64(interval)/float64(demandTime))
+	uses := make([]wire.WorkspaceUse, 0, len(s.buckets))
+	for workspace, b := range s.buckets {
+		b.demand += weight * (float64(b.asked)/interval.Seconds() - b.demand)
+		b.asked = 0
+		if b.demand >= minReported || b.admitted > 0 {
+			uses = append(uses, wire.WorkspaceUse{Workspace: workspace, Demand: b.demand, Admitted: b.admitted})
+		}
 	}
+	return uses
 }
 
-// resize sets rate and capacity to a part of the limit.
-func (b *bucket) resize(limit Limit, part float64) {
-	b.rate = limit.Rate * part
-	b.capacity = max(minTokens, limit.Burst*part)
-	b.tokens = min(b.tokens, b.capacity)
-}
-
-// Demands ends an interval and returns this daemon's demand by workspace, in
-// requests per second.
-func (s *Shares) Demands(interval time.Duration) map[string]float64 {
-	demands := make(map[string]float64, len(s.buckets))
+// Divide brings the buckets up to date with what the other daemons reported and
+// sets this daemon's parts.
+func (s *Shares) Divide(now time.Time, members []Member, limit func(workspace string) Limit) {
 	for workspace, b := range s.buckets {
-		if rate := b.demand.Tick(interval); rate >= minReported {
-			demands[workspace] = rate
+		b.limit = limit(workspace)
+		b.level += b.limit.Rate*now.Sub(b.at).Seconds() - b.taken
+		b.at, b.taken = now, 0
+		own := b.demand + baseDemand
+		total := own
+		for i := range members {
+			total += b.account(&members[i], workspace, own)
 		}
+		// A debt beyond one burst comes from reports that were late.
+		b.level = min(max(b.level, -b.limit.Burst), b.limit.Burst)
+		b.part = own / total
 	}
-	return demands
 }
 
-// minReported is the demand below which none is reported, in requests per second.
-const minReported = 0.05
-
-// Divide sets this daemon's parts. others holds the demands of the other
-// members; a nil entry stands for a member whose demand is not known yet.
-func (s *Shares) Divide(now time.Time, others []map[string]float64, limit func(workspace string) Limit) {
-	for workspace, b := range s.buckets {
-		b.fill(now)
-		own := b.demand.PerSecond() + baseDemand
-		total := own
-		for _, demands := range others {
-			if demands == nil {
-				total += max(own, baseDemand) // assume as much as here
-				continue
-			}
-			total += demands[workspace] + baseDemand
+// account takes what a member admitted since its last report off the bucket and
+// returns its demand.
+func (b *bucket) account(m *Member, workspace string, own float64) float64 {
+	if m.Uses == nil {
+		return own // not known yet: assume as much as here
+	}
+	for _, use := range m.Uses {
+		if use.Workspace != workspace {
+			continue
+		}
+		last, known := b.members[m.Name]
+		switch {
+		case known && last.incarnation == m.Incarnation && use.Admitted >= last.admitted:
+			b.level -= float64(use.Admitted - last.admitted)
+		case known:
+			b.level -= float64(use.Admitted) // a new start counts from zero
 		}
-		b.resize(limit(workspace), own/total)
+		b.members[m.Name] = seen{incarnation: m.Incarnation, admitted: use.Admitted}
+		return math.Max(use.Demand, 0) + baseDemand
 	}
+	return baseDemand
 }
--- a/internal/request/runqueue/runqueue.go
+++ b/internal/request/runqueue/runqueue.go
@@ -24,7 +24,7 @@
 	// are nearly full serve each request more slowly.
 	usableShare = 0.94
 	// importances is the number of classes; greater importances share the last.
-	importances = 8
+	importances = 64
 	// maxWaiting bounds the queue by count, as a multiple of the limit.
 	maxWaiting = 8
 	// minWaiting is the bound for small limits.
