Answer every request that a stopping server has read

A Server of package caller closes the listener, waits until all accepted connections are tracked, answers with 'Connection: close' and ends when no connection holds a request. tarragond and tarragon-agent use it. The test moved from network to caller with the same assertion, since Drain alone cannot keep it.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,13 +44,16 @@
 )
 
 // NewServer returns an HTTP server with the limits of a caller's connection.
-func NewServer(handler http.Handler) *http.Server {
-	return &http.Server{
+func NewServer(handler http.Handler) *Server {
+	s := &Server{open: make(map[net.Conn]connection)}
+	s.http = &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    rawHeaderBytes,
+		ConnState:         s.track,
 	}
+	return s
 }
 
 // CheckHeader returns the refusal of a header section over MaxHeaderBytes.
--- a/internal/connection/network/drain_test.go
+++ b/internal/connection/caller/stop_test.go
@@ -1,6 +1,6 @@
 //go:build linux
 
-package network
+package caller_test
 
 import (
 	"context"
@@ -8,10 +8,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/connection/network"
 )
 
 const waitingConnections = 20
@@ -31,28 +35,34 @@
 }
 
 // slowListener accepts late, like a process that gets no processor time.
-type slowListener struct{ net.Listener }
+type slowListener struct {
+	net.Listener
+	once     *sync.Once
+	accepted chan struct{} // closed when the server has begun to accept
+}
 
 func (l slowListener) Accept() (net.Conn, error) {
+	l.once.Do(func() { close(l.accepted) })
 	time.Sleep(20 * time.Millisecond)
 	return l.Listener.Accept()
 }
 
 // Guards against a stop that resets connections whose requests have been sent
-// but which the process has not accepted yet: without Drain, nearly all of these
-// requests end with "connection reset by peer".
-func TestDrainServesWaitingConnections(t *testing.T) {
+// but which the process has not accepted yet, and against one that reads a
+// request and closes its connection without an answer, as http.Server.Shutdown
+// does: with it, the last connections ended with an empty answer in 10 of 15 runs.
+func TestStopServesWaitingConnections(t *testing.T) {
 	g := NewWithT(t)
-	listener, err := System{}.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	listener, err := network.System{}.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	g.Expect(err).NotTo(HaveOccurred())
 	conns := sendRequests(g, listener.Addr().String())
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	server := caller.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(slowListener{listener}) }()
-
-	g.Expect(Drain(context.Background(), listener)).To(Succeed())
-	g.Expect(server.Shutdown(context.Background())).To(Succeed())
-	g.Expect(<-served).To(MatchError(http.ErrServerClosed))
+	slow := slowListener{Listener: listener, once: &sync.Once{}, accepted: make(chan struct{})}
+	go func() { served <- server.Serve(slow) }()
+	<-slow.accepted
+	g.Expect(server.Stop(context.Background(), listener)).To(Succeed())
+	g.Expect(<-served).To(HaveOccurred())
 	for _, conn := range conns {
 		answer, err := io.ReadAll(conn)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -58,6 +58,8 @@
 	stopPoll = 20 * time.Millisecond
 	// quietStop is how long nothing may be in flight before the process ends.
 	quietStop = 200 * time.Millisecond
+	// callerPort is the setting of the port for callers.
+	callerPort = "caller"
 	// maxDatagram bounds a status.
 	maxDatagram = 16 << 10
 )
@@ -102,8 +104,9 @@
 	hub        *peer.Hub
 
 	packets  net.PacketConn
-	servers  []*http.Server
-	statusMu sync.Mutex // orders the numbers of statuses
+	servers  []*caller.Server
+	callers  net.Listener // of the port for callers
+	statusMu sync.Mutex   // orders the numbers of statuses
 	number   uint64
 	last     wire.Status // of the last interval, for statuses in between
 	leaving  atomic.Bool
@@ -153,7 +156,7 @@
 		handler http.Handler
 	}{
 		{"peer", a.cfg.Listen.Peer, peers}, {"announce", a.cfg.Listen.Announce, announce}, {"ready", a.cfg.Listen.Ready, ready},
-		{"admin", a.cfg.Listen.Admin, admin}, {"caller", a.cfg.Listen.Caller, a.entry},
+		{"admin", a.cfg.Listen.Admin, admin}, {callerPort, a.cfg.Listen.Caller, a.entry}, // callers last
 	} {
 		if err := a.serve(port.name, port.address, port.handler); err != nil {
 			return err
@@ -181,7 +184,10 @@
 	}
 	server := caller.NewServer(handler)
 	a.servers = append(a.servers, server)
-	a.wg.Go(func() { _ = server.Serve(listener) }) // it ends with http.ErrServerClosed
+	if name == callerPort {
+		a.callers = listener
+	}
+	a.wg.Go(func() { _ = server.Serve(listener) }) // it ends when the agent stops
 	return nil
 }
 
@@ -283,6 +289,11 @@
 	pause(ctx, lameDuck)
 	a.drain(ctx)
 	<-withdrawn
+	if a.callers != nil {
+		if err := a.servers[len(a.servers)-1].Stop(ctx, a.callers); err != nil {
+			logging.WarningEvent("agent", "callers-cut", "error", err)
+		}
+	}
 	a.cancel()
 	for _, server := range a.servers {
 		_ = server.Close()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -76,7 +76,7 @@
 	superseded  chan struct{}
 	viewChanged chan struct{}
 	listeners   map[string]net.Listener
-	servers     map[string]*http.Server
+	servers     map[string]*caller.Server
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 }
@@ -101,7 +101,7 @@
 		superseded:  make(chan struct{}),
 		viewChanged: make(chan struct{}, 1),
 		listeners:   make(map[string]net.Listener),
-		servers:     make(map[string]*http.Server),
+		servers:     make(map[string]*caller.Server),
 	}
 }
 
@@ -291,7 +291,7 @@
 			if name == "caller" {
 				d.awaitService(ctx)
 			}
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				logging.Event("daemon", "listener-failed", "port", name, "error", err.Error())
 			}
 		})
--- a/internal/process/daemon/stop.go
+++ b/internal/process/daemon/stop.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"tarragonshore.example/tarragonshore/internal/connection/network"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/membership"
@@ -16,8 +15,6 @@
 const (
 	// leaveTime is how long the news that this member has left may take to get out.
 	leaveTime = 1500 * time.Millisecond
-	// drainTime bounds the wait for connections that callers go on opening.
-	drainTime = time.Second
 )
 
 // Stop is a planned stop: it cuts no request. ctx bounds it.
@@ -30,9 +27,8 @@
 	pause(ctx, d.cfg.LameDuck)
 	d.groups.leave(ctx)
 	var errs []error
-	d.drainListener(ctx)
-	// Shutdown waits for the requests of callers.
-	errs = append(errs, d.servers["caller"].Shutdown(ctx))
+	// Stop waits for the requests of callers.
+	errs = append(errs, d.servers["caller"].Stop(ctx, d.listeners["caller"]))
 	errs = append(errs, d.moveTickets(ctx))
 	errs = append(errs, d.executor.drainRuns(ctx))
 	errs = append(errs, waitFor(ctx, handoverRetryDelay, func() bool { return !d.dispatcher.waiting() }))
@@ -43,16 +39,6 @@
 	return errors.Join(errs...)
 }
 
-// drainListener lets the server accept the callers' connections that wait, since
-// closing the listener would reset them.
-func (d *Daemon) drainListener(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, drainTime)
-	defer cancel()
-	if err := network.Drain(ctx, d.listeners["caller"]); err != nil {
-		logging.Event("daemon", "listener-not-drained", "error", err.Error())
-	}
-}
-
 // moveTickets hands the tickets over. If the successor refuses, for example
 // because it stops too, or was not reached, another one is chosen.
 func (d *Daemon) moveTickets(ctx context.Context) error {
