--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -43,7 +43,7 @@
 	// planInterval is the time between two plans.
 	planInterval = 250 * time.Millisecond
 	// directoryInterval is the time between two reads of the directory.
-	directoryInterval = 10 * time.Second
+	directoryInterval = 15 * time.Second
 	// directoryRetry is the pause after a failed call to the directory.
 	directoryRetry = 500 * time.Millisecond
 	// linkPing and linkSilence bound the time for which a silent link is used.
@@ -122,7 +122,7 @@
 	a := &Agent{cfg: cfg, around: around, incarnation: uint64(time.Now().UnixNano())}
 	a.published = newPublished(around.Store, cfg.RevokeBound)
 	a.server = newServer(cfg.Heartbeat, cfg.ServerAddress)
-	a.fleet = newFleet(cfg.Member)
+	a.fleet = newFleet(cfg.Member, cfg.Zone)
 	a.executor = newExecutor(around.Protocol, a.server, backend.NewExchanger(maxBody), around.Metrics, log)
 	a.dispatcher = newDispatcher(a.fleet, a.executor, log)
 	a.entry = &entry{
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -297,13 +297,6 @@
 	}
 }
 
-// waiting returns the number of attempts that wait for an answer.
-func (d *dispatcher) waiting() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.waiters)
-}
-
 // result classifies the end of an attempt for the choice of upstreams.
 func (e *attemptEnd) result() placement.Result {
 	switch {
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -52,6 +52,7 @@
 // all fields below it and is a leaf: no other lock is taken while it is held.
 type fleet struct {
 	self string
+	zone string
 
 	mu      sync.Mutex
 	started time.Time
@@ -69,9 +70,9 @@
 	importance uint8
 }
 
-func newFleet(self string) *fleet {
+func newFleet(self, zone string) *fleet {
 	return &fleet{
-		self: self, started: time.Now(),
+		self: self, zone: zone, started: time.Now(),
 		members: make(map[string]*member), tables: make(map[string]*placement.Table), servers: make(map[string]string),
 		plan: shedding.NewPlan(shedding.DefaultOptions), shares: rateshare.New(),
 		arrivals: make(map[arrival]*shedding.Rate),
@@ -151,7 +152,7 @@
 		}
 		f.servers[m.status.Server] = m.name
 		upstreams = append(upstreams, placement.Upstream{
-			ID: m.status.Server, Local: m.self, Warming: m.status.Phase == wire.ServerWarming,
+			ID: m.status.Server, Near: m.status.Zone == f.zone, Warming: m.status.Phase == wire.ServerWarming,
 			Load: loadOf(&m.status.Load), Number: m.status.Load.Number,
 		})
 	}
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -16,7 +16,7 @@
 	// pollWait is the wait of a long poll. A withdrawn key must stop working
 	// within the platform's bound, so that each daemon has to know every few
 	// seconds that nothing was published.
-	pollWait = time.Second
+	pollWait = 1500 * time.Millisecond
 	// storeTimeout bounds a call to the store without the wait of a long poll.
 	storeTimeout = 900 * time.Millisecond
 	// storePause is the pause after a failed call.
@@ -25,7 +25,7 @@
 	// route" are said: a version that is a little newer may have them.
 	certainAge = 2500 * time.Millisecond
 	// readyAge is the age of the last read up to which the daemon asks for callers.
-	readyAge = 2500 * time.Millisecond
+	readyAge = 3 * time.Second
 	// transitMargin is left of the bound for withdrawn keys for a request's way
 	// from its caller to the check.
 	transitMargin = 500 * time.Millisecond
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -23,7 +23,14 @@
 	// assumedService is the service time of an upstream that has not reported one.
 	assumedService = 50 * time.Millisecond
 	// warmUpFactor is how much slower an upstream counts that is still warming up.
-	warmUpFactor = 2.0
+	warmUpFactor = 1.3
+	// explored is the share of choices that take the first candidate, unless it
+	// is full. Without it an upstream that was slow once, as all are after their
+	// start, would get no request that shows that it is not slow any more.
+	explored = 0.06
+	// distanceFactor is how much more an upstream in another zone costs: bytes
+	// between zones are paid for, and links between them fail.
+	distanceFactor = 1.25
 	// failureWeight is the weight of the newest outcome in the failure ratio.
 	failureWeight = 0.1
 	// maxFailureCost bounds the factor by which failures raise an upstream's cost.
@@ -47,7 +54,7 @@
 // Upstream is a candidate as membership knows it.
 type Upstream struct {
 	ID      string
-	Local   bool // on this daemon's host
+	Near    bool // in this daemon's availability zone
 	Warming bool
 	Load    Load
 	// Number orders the reports of one upstream; a greater one is newer.
@@ -101,7 +108,7 @@
 		s.unreported = 0
 		s.Load, s.Number = u.Load, u.Number
 	}
-	s.ID, s.Local, s.Warming = u.ID, u.Local, u.Warming
+	s.ID, s.Near, s.Warming = u.ID, u.Near, u.Warming
 }
 
 // Report takes the load that came with an answer.
@@ -161,41 +168,74 @@
 	return s.failures / (1 + float64(age)/float64(failureForget))
 }
 
-// cost estimates the time until a new attempt would be done, in seconds.
-func (s *state) cost(now time.Time) float64 {
-	service := s.Load.Service
-	if service <= 0 {
-		service = assumedService
+// ahead returns the number of attempts at the upstream, as far as it is known.
+func (s *state) ahead() int {
+	return max(s.Load.Running+s.Load.Waiting+s.unreported, s.inFlight)
+}
+
+// full reports whether a new attempt would have to wait.
+func (s *state) full() bool { return s.ahead() >= s.Load.Limit }
+
+// service returns the service time of an upstream, in seconds. One that has not
+// reported any counts like the others.
+func (t *Table) service(s *state) float64 {
+	if s.Load.Service > 0 {
+		return s.Load.Service.Seconds()
 	}
-	seconds := service.Seconds()
+	sum, n := 0.0, 0
+	for _, other := range t.upstreams {
+		if other.Load.Service > 0 {
+			sum += other.Load.Service.Seconds()
+			n++
+		}
+	}
+	if n == 0 {
+		return assumedService.Seconds()
+	}
+	return sum / float64(n)
+}
+
+// cost estimates the time until a new attempt would be done, in seconds.
+func (t *Table) cost(now time.Time, s *state) float64 {
+	seconds := t.service(s)
 	if s.Warming {
 		seconds *= warmUpFactor
 	}
 	limit := float64(max(1, s.Load.Limit))
-	ahead := float64(max(s.Load.Running+s.Load.Waiting+s.unreported, s.inFlight))
+	ahead := float64(s.ahead())
 	waits := max(0, ahead+1-limit) / limit
 	// A small term for partly filled upstreams spreads load below saturation.
 	cost := seconds * (1 + waits + spreadWeight*ahead/limit)
-	if share := s.failureShare(now); share > 0 {
-		cost *= min(maxFailureCost, 1/(1-min(share, 1-1/maxFailureCost))/(1-min(share, 1-1/maxFailureCost)))
+	if !s.Near {
+		cost *= distanceFactor
 	}
-	return cost
+	return cost * s.failureCost(now)
+}
+
+// failureCost is the factor by which failures raise the cost: an attempt that
+// fails is sent again, and both take time.
+func (s *state) failureCost(now time.Time) float64 {
+	succeeds := 1 - s.failureShare(now)
+	return min(maxFailureCost, 1/max(succeeds*succeeds, 1/maxFailureCost))
 }
 
 // spreadWeight is the weight of the occupied share of an upstream's slots in its cost.
 const spreadWeight = 0.5
 
-// Pick returns the better of two random candidates. Those in exclude are left
+// Pick returns the better of two random candidates, one of them near. Those in exclude are left
 // out, and those set aside if others remain. ok is false if there is none.
 func (t *Table) Pick(now time.Time, rng *rand.Rand, exclude []string) (id string, ok bool) {
-	var best *state
 	for _, aside := range []bool{false, true} {
-		first := t.draw(now, rng, exclude, nil, aside)
+		first := t.draw(rng, func(s *state) bool { return s.Near && s.eligible(now, exclude, aside) })
+		if first == nil {
+			first = t.draw(rng, func(s *state) bool { return s.eligible(now, exclude, aside) })
+		}
 		if first == nil {
 			continue
 		}
-		best = first
-		if second := t.draw(now, rng, exclude, first, aside); second != nil && second.cost(now) < first.cost(now) {
+		best := first
+		second := t.draw(rng, func(s *state) bool { return s != first && s.eligible(now, exclude, aside) })
+		if second != nil && (first.full() || rng.Float64() >= explored) && t.cost(now, second) < t.cost(now, first) {
 			best = second
 		}
 		return best.ID, true
@@ -203,23 +243,24 @@
 	return "", false
 }
 
-// draw returns a random candidate other than one, weighted by its capacity.
-func (t *Table) draw(now time.Time, rng *rand.Rand, exclude []string, other *state, aside bool) *state {
+// draw returns a random candidate among some, weighted by capacity; nil if there
+// is none.
+func (t *Table) draw(rng *rand.Rand, among func(*state) bool) *state {
 	total := 0.0
 	for _, s := range t.upstreams {
-		if s != other && s.eligible(now, exclude, aside) {
-			total += s.weight()
+		if among(s) {
+			total += t.weight(s)
 		}
 	}
 	x := rng.Float64() * total
 	var last *state
 	for _, s := range t.upstreams {
-		if s == other || !s.eligible(now, exclude, aside) {
+		if !among(s) {
 			continue
 		}
 		last = s
-		if x -= s.weight(); x < 0 {
-			return s
+		if x -= t.weight(s); x < 0 {
+			break
 		}
 	}
 	return last
@@ -230,10 +271,6 @@
 }
 
 // weight is the upstream's capacity in requests per second.
-func (s *state) weight() float64 {
-	service := s.Load.Service
-	if service <= 0 {
-		service = assumedService
-	}
-	return float64(max(1, s.Load.Limit)) / service.Seconds()
+func (t *Table) weight(s *state) float64 {
+	return float64(max(1, s.Load.Limit)) / t.service(s)
 }
