Take callers' requests only in the first half of the grace time of a stop

They now get a true refusal. Ruled out: ending readiness earlier, which these callers do not follow. Test: TestStoppingDaemonTakesOnlyWhatItCanFinish.

--- a/cmd/tarragon-agent/main.go
+++ b/cmd/tarragon-agent/main.go
@@ -125,6 +125,7 @@
 	cfg := agent.Config{
 		Member: s.Name, Zone: s.Zone, Service: s.Service, ServerAddress: s.Backend.Address.String(),
 		Heartbeat: s.Backend.HeartbeatInterval, RevokeBound: s.Platform.RevokeBound,
+		Grace: s.Platform.Grace,
 	}
 	cfg.Listen.Caller, cfg.Listen.Ready, cfg.Listen.Announce = s.Listen.Caller, s.Listen.Ready, s.Listen.Announce
 	cfg.Listen.Peer, cfg.Listen.Admin = s.Listen.Peer, s.Listen.Admin
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -49,15 +49,6 @@
 	// linkPing and linkSilence bound the time for which a silent link is used.
 	linkPing    = 500 * time.Millisecond
 	linkSilence = 1300 * time.Millisecond
-	// lameDuck is the time at a planned stop in which callers learn that this
-	// daemon is not ready and go elsewhere.
-	lameDuck = 2300 * time.Millisecond
-	// stopTime bounds a planned stop, below the platform's time until SIGKILL.
-	stopTime = 5 * time.Second
-	// stopPoll is the time between two looks at what is in flight.
-	stopPoll = 20 * time.Millisecond
-	// quietStop is how long nothing may be in flight before the process ends.
-	quietStop = 200 * time.Millisecond
 	// callerPort is the setting of the port for callers.
 	callerPort = "caller"
 	// maxDatagram bounds a status.
@@ -76,6 +67,8 @@
 	Heartbeat     time.Duration
 	// RevokeBound is the time after which a withdrawn key must not work.
 	RevokeBound time.Duration
+	// Grace is the time from a stop signal until the platform kills the process.
+	Grace time.Duration
 }
 
 // Surroundings is what an agent runs on.
@@ -103,13 +96,15 @@
 	entry      *entry
 	hub        *peer.Hub
 
-	packets  net.PacketConn
-	servers  []*caller.Server
-	callers  net.Listener // of the port for callers
-	statusMu sync.Mutex   // orders the numbers of statuses
-	number   uint64
-	last     wire.Status // of the last interval, for statuses in between
-	leaving  atomic.Bool
+	packets net.PacketConn
+	servers []*caller.Server
+	// callers is the listener of the port for callers, callerServer its server.
+	callers      net.Listener
+	callerServer *caller.Server
+	statusMu     sync.Mutex // orders the numbers of statuses
+	number       uint64
+	last         wire.Status // of the last interval, for statuses in between
+	leaving      atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -185,7 +180,7 @@
 	server := caller.NewServer(handler)
 	a.servers = append(a.servers, server)
 	if name == callerPort {
-		a.callers = listener
+		a.callers, a.callerServer = listener, server
 	}
 	a.wg.Go(func() { _ = server.Serve(listener) }) // it ends when the agent stops
 	return nil
@@ -272,61 +267,6 @@
 	}
 }
 
-// Stop is a planned stop: it cuts no request.
-func (a *Agent) Stop(ctx context.Context) error {
-	logging.Event("agent", "stopping", "member", a.cfg.Member)
-	ctx, cancel := context.WithTimeout(ctx, stopTime)
-	defer cancel()
-	a.leaving.Store(true)
-	a.entry.leaving.Store(true)
-	a.executor.leave()
-	a.broadcast(0)
-	withdrawn := make(chan struct{})
-	go func() {
-		defer close(withdrawn)
-		a.withdraw(ctx)
-	}()
-	pause(ctx, lameDuck)
-	a.drain(ctx)
-	<-withdrawn
-	if a.callers != nil {
-		if err := a.servers[len(a.servers)-1].Stop(ctx, a.callers); err != nil {
-			logging.WarningEvent("agent", "callers-cut", "error", err)
-		}
-	}
-	a.cancel()
-	for _, server := range a.servers {
-		_ = server.Close()
-	}
-	_ = a.packets.Close()
-	a.hub.Close()
-	logging.Event("agent", "stopped", "member", a.cfg.Member, "in_flight", a.entry.inFlight.Load(), "runs", a.executor.busy())
-	return nil
-}
-
-// drain waits until nothing has been in flight for a while.
-func (a *Agent) drain(ctx context.Context) {
-	quietSince := time.Now()
-	for ctx.Err() == nil {
-		if a.entry.inFlight.Load() > 0 || a.executor.busy() > 0 {
-			quietSince = time.Now()
-		}
-		if time.Since(quietSince) > quietStop {
-			return
-		}
-		pause(ctx, stopPoll)
-	}
-}
-
-// withdraw takes this daemon out of the directory.
-func (a *Agent) withdraw(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := a.around.Store.Withdraw(ctx, a.cfg.Member); err != nil {
-		logging.WarningEvent("directory", "not-withdrawn", "member", a.cfg.Member, "error", err)
-	}
-}
-
 // storeContext bounds one call to the store.
 func (a *Agent) storeContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(a.ctx, storeTimeout)
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -61,8 +61,9 @@
 	service    string // of this host, as the settings say
 	metrics    *metrics.Metrics
 	log        *requestLog
-	leaving    atomic.Bool
-	inFlight   atomic.Int64
+	// stopping is nil until a planned stop begins.
+	stopping atomic.Pointer[stopSchedule]
+	inFlight atomic.Int64
 
 	mu     sync.Mutex
 	splits map[string]*split
@@ -80,7 +81,7 @@
 	defer e.inFlight.Add(-1)
 	q := &received{begun: time.Now(), age: e.published.age()}
 	response, refusal := e.answer(r, q)
-	if e.leaving.Load() {
+	if e.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if r.Context().Err() != nil {
@@ -209,6 +210,9 @@
 		return nil
 	}
 	now := time.Now()
+	if stop := e.stopping.Load(); stop != nil && !stop.takes(now, true) {
+		return problem.New(problem.KindDraining, "the daemon is stopping").WithRetryAfter(unknownRetry)
+	}
 	workspace, _ := c.Workspace(q.workspace)
 	if ok, wait := e.fleet.take(now, q.workspace, rateshare.Limit{Rate: workspace.Rate, Burst: workspace.Burst}); !ok {
 		return problem.New(problem.KindRateExceeded, "workspace "+q.workspace+" is over its rate").WithRetryAfter(wait)
--- a/internal/process/settings/agent.go
+++ b/internal/process/settings/agent.go
@@ -22,6 +22,7 @@
 	Platform struct {
 		Address     netip.AddrPort
 		RevokeBound time.Duration
+		Grace       time.Duration
 	}
 	Log struct {
 		Level string
@@ -54,6 +55,7 @@
 
 		address("platform", "address", &a.Platform.Address, "", true, "Address of the platform's store."),
 		duration("platform", "revoke_bound", &a.Platform.RevokeBound, "5s", 2*time.Second, 10*time.Minute, "Time after which a withdrawn key must not work. Keyed requests are refused when the store has not confirmed the tables for nearly that long. Longer: keyed requests survive longer outages of the store."),
+		duration("platform", "grace", &a.Platform.Grace, "6s", 3*time.Second, 10*time.Minute, "Time from a stop signal until the platform kills the process. Callers are served for about half of it. A value above the real one cuts requests; one below refuses callers earlier."),
 
 		choice("log", "level", &a.Log.Level, "info", logging.Levels, "Lowest level that is logged."),
 	}}
