Refuse fewer requests within a workspace's rate

Cause: parts of one or two tokens refuse requests that arrive in twos, and a division by demands of a few requests a second is rough. While the bucket is full the daemons may take a small overdraft, half of the division is even, and a part of a token counts as the chance of one. An upstream that has joined counts its first report. An empty long poll confirms the tables until near its end. Ruled out: an even division alone (a workspace at one host gets a 15th).

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -117,7 +117,7 @@
 	a := &Agent{cfg: cfg, around: around, incarnation: uint64(time.Now().UnixNano())}
 	a.published = newPublished(around.Store, cfg.RevokeBound)
 	a.server = newServer(cfg.Heartbeat, cfg.ServerAddress)
-	a.fleet = newFleet(cfg.Member, cfg.Zone)
+	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation)
 	a.executor = newExecutor(around.Protocol, a.server, backend.NewExchanger(maxBody), around.Metrics, log)
 	a.dispatcher = newDispatcher(a.fleet, a.executor, log)
 	a.entry = &entry{
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -4,7 +4,6 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -63,7 +62,7 @@
 }
 
 // dispatcher sends attempts to executing daemons and waits for their answers.
-// Its lock guards waiters, budgets and rng.
+// Its lock guards waiters, budgets and counter.
 type dispatcher struct {
 	fleet *fleet
 	hub   *peer.Hub
@@ -73,7 +72,6 @@
 	mu      sync.Mutex
 	waiters map[wire.AttemptID]*waiter
 	budgets map[string]*retry.Budget
-	rng     *rand.Rand
 	prefix  [8]byte
 	counter uint64
 }
@@ -84,7 +82,6 @@
 		waiters: make(map[wire.AttemptID]*waiter), budgets: make(map[string]*retry.Budget),
 	}
 	_, _ = crand.Read(d.prefix[:]) // crypto/rand.Read never fails
-	d.rng = rand.New(rand.NewPCG(binary.BigEndian.Uint64(d.prefix[:]), 0))
 	return d
 }
 
@@ -94,7 +91,7 @@
 	reached, moves := 0, 0
 	var last *attemptEnd
 	for {
-		id, member, ok := d.fleet.pick(time.Now(), d.rand(), c.service, c.tried)
+		id, member, ok := d.fleet.pick(time.Now(), c.service, c.tried)
 		if !ok {
 			return d.giveUp(c, last, "no upstream of "+c.service+" is left")
 		}
@@ -121,13 +118,6 @@
 	}
 }
 
-// rand returns a random source of its own for one choice.
-func (d *dispatcher) rand() *rand.Rand {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return rand.New(rand.NewPCG(d.rng.Uint64(), 1))
-}
-
 // again decides whether a call is sent to another upstream.
 func (d *dispatcher) again(c *call, end *attemptEnd, reached, moves int) (again bool, reason string) {
 	left := time.Until(c.deadline)
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -61,6 +61,7 @@
 	servers map[string]string // upstream to member
 	plan    *shedding.Plan
 	shares  *rateshare.Shares
+	rng     *rand.Rand
 	// arrivals counts the callers' requests that entered here.
 	arrivals map[arrival]*shedding.Rate
 }
@@ -70,11 +71,12 @@
 	importance uint8
 }
 
-func newFleet(self, zone string) *fleet {
+func newFleet(self, zone string, incarnation uint64) *fleet {
 	return &fleet{
 		self: self, zone: zone, started: time.Now(),
 		members: make(map[string]*member), tables: make(map[string]*placement.Table), servers: make(map[string]string),
-		plan: shedding.NewPlan(shedding.DefaultOptions), shares: rateshare.New(),
+		plan: shedding.NewPlan(shedding.DefaultOptions), shares: rateshare.New(incarnation),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		arrivals: make(map[arrival]*shedding.Rate),
 	}
 }
@@ -169,14 +171,14 @@
 }
 
 // pick chooses an upstream of a service and counts the attempt.
-func (f *fleet) pick(now time.Time, rng *rand.Rand, service string, tried []string) (server string, m memberAddress, ok bool) {
+func (f *fleet) pick(now time.Time, service string, tried []string) (server string, m memberAddress, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	table := f.tables[service]
 	if table == nil {
 		return "", m, false
 	}
-	server, ok = table.Pick(now, rng, tried)
+	server, ok = table.Pick(now, f.rng, tried)
 	if !ok {
 		return "", m, false
 	}
@@ -236,7 +238,7 @@
 func (f *fleet) take(now time.Time, workspace string, limit rateshare.Limit) (ok bool, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.shares.Take(now, workspace, limit, f.counting(now))
+	return f.shares.Take(now, f.rng, workspace, limit, f.counting(now))
 }
 
 // counting returns the number of members that may be serving, with this one.
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -26,6 +26,8 @@
 	certainAge = 2500 * time.Millisecond
 	// readyAge is the age of the last read up to which the daemon asks for callers.
 	readyAge = 3 * time.Second
+	// clockShare allows for a store whose clock runs faster than the host's.
+	clockShare = 0.9
 	// transitMargin is left of the bound for withdrawn keys for a request's way
 	// from its caller to the check.
 	transitMargin = 500 * time.Millisecond
@@ -100,12 +102,23 @@
 			lost = false
 			logging.Event("tables", "store-regained", "version", uint64(p.version()), "age_ms", p.age().Milliseconds())
 		}
+		polled := known && publication.Content == nil && publication.Next == next
 		next, known = publication.Next, true
 		p.apply(publication.Content)
-		p.confirmed.Store(int64(begun))
+		p.confirmed.Store(int64(confirmedAt(begun, bootTime(), polled)))
 	}
 }
 
+// confirmedAt returns until when a read that began and ended at the given times
+// proves that nothing newer was published. The store holds an empty answer to a
+// long poll back for the whole wait, by its own clock.
+func confirmedAt(begun, ended time.Duration, emptyPoll bool) time.Duration {
+	if !emptyPoll || ended-begun < pollWait {
+		return begun
+	}
+	return begun + time.Duration(clockShare*float64(pollWait))
+}
+
 func (p *published) read(ctx context.Context, known bool, next Offset) (Publication, error) {
 	if !known {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- /dev/null
+++ b/internal/process/agent/tables_test.go
@@ -0,0 +1,97 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"tarragonshore.example/tarragonshore/internal/version/catalog"
+)
+
+// An answer proves that nothing newer was published up to a time before it was
+// given, never after.
+func TestConfirmedAtIsNeverAfterTheAnswer(t *testing.T) {
+	g := NewWithT(t)
+	const begun = 10 * time.Second
+	g.Expect(confirmedAt(begun, begun+pollWait/2, true)).To(Equal(begun), "the answer came early")
+	g.Expect(confirmedAt(begun, begun+pollWait, false)).To(Equal(begun), "the answer held records, at an unknown time")
+	full := confirmedAt(begun, begun+pollWait, true)
+	g.Expect(full).To(BeNumerically(">", begun+pollWait/2))
+	g.Expect(full).To(BeNumerically("<", begun+pollWait))
+	frozen := confirmedAt(begun, begun+time.Minute, true)
+	g.Expect(frozen).To(Equal(full), "time in which the process was suspended proves nothing")
+}
+
+// scriptedStore answers reads from a script and blocks when it has ended.
+type scriptedStore struct {
+	Store
+	mu     sync.Mutex
+	script []func() (Publication, error)
+}
+
+func (s *scriptedStore) step(ctx context.Context) (Publication, error) {
+	s.mu.Lock()
+	if len(s.script) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return Publication{}, ctx.Err()
+	}
+	next := s.script[0]
+	s.script = s.script[1:]
+	s.mu.Unlock()
+	return next()
+}
+
+func (s *scriptedStore) Newest(ctx context.Context) (Publication, error) { return s.step(ctx) }
+func (s *scriptedStore) Next(ctx context.Context, _ Offset, _ time.Duration) (Publication, error) {
+	return s.step(ctx)
+}
+
+func version(n catalog.Version) func() (Publication, error) {
+	return func() (Publication, error) {
+		return Publication{Next: Offset(n), Content: &catalog.Content{Version: n}}, nil
+	}
+}
+
+func failing() (Publication, error) { return Publication{}, errors.New("no answer") }
+
+func historyLost() (Publication, error) { return Publication{}, ErrHistoryLost }
+
+// A version in force is only replaced by a newer one, whatever the store says
+// again after lost answers and lost history; an unusable one changes nothing.
+func TestTablesNeverGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		broken := func() (Publication, error) {
+			return Publication{Next: 9, Content: &catalog.Content{Version: 9, Routes: []catalog.Route{{Name: "r"}}}}, nil
+		}
+		store := &scriptedStore{script: []func() (Publication, error){
+			failing, version(4), failing, version(7), historyLost, version(4), broken, version(8), version(7),
+		}}
+		p := newPublished(store, 5*time.Second)
+		var seen []catalog.Version
+		p.onChange = func(c *catalog.Catalog) { seen = append(seen, c.Version()) }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); p.watch(ctx) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		g.Expect(seen).To(Equal([]catalog.Version{4, 7, 8}))
+		g.Expect(p.version()).To(Equal(catalog.Version(8)))
+		cancel()
+		<-done
+	})
+}
+
+// Before the first version is known, nothing is trusted.
+func TestNothingIsTrustedBeforeTheFirstRead(t *testing.T) {
+	g := NewWithT(t)
+	p := newPublished(&scriptedStore{}, 5*time.Second)
+	g.Expect(p.age()).To(BeNumerically(">", time.Hour))
+	g.Expect(p.catalog()).To(BeNil())
+}
--- a/internal/process/rateshare/rateshare.go
+++ b/internal/process/rateshare/rateshare.go
@@ -16,7 +16,7 @@
 package rateshare
 
 import (
-	"math"
+	"math/rand/v2"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
@@ -31,6 +31,21 @@
 	// initialShare is the part of the burst that a new bucket holds. A restart of
 	// the whole fleet must not bring a new burst.
 	initialShare = 0.25
+	initialMost  = 0.5
+	// togetherTime before this daemon's own start, a member's count began at about
+	// the same time as this daemon's; those of older members are not charged.
+	togetherTime = 5 * time.Second
+	// evenShare is the weight of an even division beside that by demand: demands
+	// of a few requests a second are measured too roughly to divide by them alone.
+	evenShare = 1.0
+	// While the bucket is at least plentyShare full, the daemons together may take
+	// an overdraft before they hear of each other: a share of the burst and a few
+	// requests. It shrinks as the bucket empties. Parts of one or two tokens would
+	// otherwise refuse requests that arrive in twos. The debt is paid back before
+	// others enter.
+	plentyShare     = 0.4
+	overdraftShare  = 0.15
+	overdraftTokens = 16
 	// minReported is the demand below which none is reported, per second.
 	minReported = 0.02
 	// Bounds of Retry-After.
@@ -68,33 +83,36 @@
 	admitted uint64  // by this daemon since its start
 	asked    int
 	demand   float64
-	members  map[string]seen
+	members  float64 // daemons that may be admitting requests
+	reports  map[string]seen
 }
 
 // Shares holds this daemon's copies of the buckets.
 type Shares struct {
+	started uint64 // incarnation of this daemon
 	buckets map[string]*bucket
 }
 
-// New returns shares without any bucket.
-func New() *Shares { return &Shares{buckets: make(map[string]*bucket)} }
+// New returns shares without any bucket. An incarnation is the time of a
+// daemon's start in nanoseconds.
+func New(incarnation uint64) *Shares {
+	return &Shares{started: incarnation, buckets: make(map[string]*bucket)}
+}
 
 // Take asks for one token of a workspace. members is the number of daemons that
 // may be admitting requests. wait is the time until a token is due.
-func (s *Shares) Take(now time.Time, workspace string, limit Limit, members int) (ok bool, wait time.Duration) {
+func (s *Shares) Take(now time.Time, rng *rand.Rand, workspace string, limit Limit, members int) (ok bool, wait time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
-	b := s.buckets[workspace]
-	if b == nil {
-		b = &bucket{limit: limit, at: now, level: initialShare * limit.Burst, part: 1 / float64(max(1, members)), members: map[string]seen{}}
-		b.level = max(b.level, 1/b.part) // the first request anywhere is admitted
-		s.buckets[workspace] = b
-	}
+	b := s.bucket(now, workspace, limit, members)
 	b.asked++
 	flow := b.part * b.limit.Rate
 	available := b.part*b.level + flow*now.Sub(b.at).Seconds() - b.taken
-	if available >= 1 {
+	filled := min(1, max(0, b.level)/max(1, plentyShare*limit.Burst))
+	available += filled * (overdraftShare*limit.Burst + overdraftTokens) / b.members
+	// While the bucket is not empty, a part of a token counts as the chance of one.
+	if available >= 1 || available > rng.Float64() && rng.Float64() < filled {
 		b.taken++
 		b.admitted++
 		return true, 0
@@ -103,6 +121,19 @@
 	return false, min(max(wait, minWait), maxWait)
 }
 
+// bucket returns the bucket of a workspace, a new one if there is none.
+func (s *Shares) bucket(now time.Time, workspace string, limit Limit, members int) *bucket {
+	b := s.buckets[workspace]
+	if b == nil {
+		n := float64(max(1, members))
+		b = &bucket{limit: limit, at: now, part: 1 / n, members: n, reports: map[string]seen{}}
+		// Every daemon may admit a first request, within half of the burst.
+		b.level = max(initialShare*limit.Burst, min(n, initialMost*limit.Burst))
+		s.buckets[workspace] = b
+	}
+	return b
+}
+
 // Uses ends an interval and returns what to report to the other daemons.
 func (s *Shares) Uses(interval time.Duration) []wire.WorkspaceUse {
 	weight := min(1, float64(interval)/float64(demandTime))
@@ -120,40 +151,51 @@
 // Divide brings the buckets up to date with what the other daemons reported and
 // sets this daemon's parts.
 func (s *Shares) Divide(now time.Time, members []Member, limit func(workspace string) Limit) {
+	for _, m := range members {
+		for _, use := range m.Uses {
+			s.bucket(now, use.Workspace, limit(use.Workspace), len(members)+1)
+		}
+	}
 	for workspace, b := range s.buckets {
 		b.limit = limit(workspace)
 		b.level += b.limit.Rate*now.Sub(b.at).Seconds() - b.taken
 		b.at, b.taken = now, 0
-		own := b.demand + baseDemand
-		total := own
+		sum := b.demand
+		unknown := 0
 		for i := range members {
-			total += b.account(&members[i], workspace, own)
+			demand, known := b.account(&members[i], workspace, s.started)
+			sum += demand
+			if !known {
+				unknown++
+			}
 		}
+		// A member that has not reported counts like this one.
+		sum += float64(unknown) * b.demand
 		// A debt beyond one burst comes from reports that were late.
 		b.level = min(max(b.level, -b.limit.Burst), b.limit.Burst)
-		b.part = own / total
+		n := float64(len(members) + 1)
+		b.members = n
+		even := evenShare*sum/n + baseDemand
+		b.part = (b.demand + even) / (sum + n*even)
 	}
 }
 
 // account takes what a member admitted since its last report off the bucket and
-// returns its demand.
-func (b *bucket) account(m *Member, workspace string, own float64) float64 {
-	if m.Uses == nil {
-		return own // not known yet: assume as much as here
-	}
+// returns its demand. known is false if the member has not reported.
+func (b *bucket) account(m *Member, workspace string, started uint64) (demand float64, known bool) {
 	for _, use := range m.Uses {
 		if use.Workspace != workspace {
 			continue
 		}
-		last, known := b.members[m.Name]
+		last, seenBefore := b.reports[m.Name]
 		switch {
-		case known && last.incarnation == m.Incarnation && use.Admitted >= last.admitted:
+		case seenBefore && last.incarnation == m.Incarnation && use.Admitted >= last.admitted:
 			b.level -= float64(use.Admitted - last.admitted)
-		case known:
+		case seenBefore || m.Incarnation+uint64(togetherTime) > started:
 			b.level -= float64(use.Admitted) // a new start counts from zero
 		}
-		b.members[m.Name] = seen{incarnation: m.Incarnation, admitted: use.Admitted}
-		return math.Max(use.Demand, 0) + baseDemand
+		b.reports[m.Name] = seen{incarnation: m.Incarnation, admitted: use.Admitted}
+		return max(use.Demand, 0), true
 	}
-	return baseDemand
+	return 0, m.Uses != nil
 }
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -24,10 +24,10 @@
 	assumedService = 50 * time.Millisecond
 	// warmUpFactor is how much slower an upstream counts that is still warming up.
 	warmUpFactor = 1.3
-	// explored is the share of choices that take the first candidate, unless it
-	// is full. Without it an upstream that was slow once, as all are after their
-	// start, would get no request that shows that it is not slow any more.
-	explored = 0.06
+	// explored is the share of choices that take any candidate that is not full.
+	// Without it an upstream that was slow once, as all are after their start,
+	// would get no request that shows that it is not slow any more.
+	explored = 0.05
 	// distanceFactor is how much more an upstream in another zone costs: bytes
 	// between zones are paid for, and links between them fail.
 	distanceFactor = 1.25
@@ -104,7 +104,7 @@
 
 // take replaces the report of an upstream by a newer one.
 func (s *state) take(u Upstream) {
-	if u.Number > s.Number {
+	if u.Number > s.Number || s.ID == "" {
 		s.unreported = 0
 		s.Load, s.Number = u.Load, u.Number
 	}
@@ -225,6 +225,12 @@
 // Pick returns the better of two random candidates, one of them near. Those in exclude are left
 // out, and those set aside if others remain. ok is false if there is none.
 func (t *Table) Pick(now time.Time, rng *rand.Rand, exclude []string) (id string, ok bool) {
+	if rng.Float64() < explored {
+		explored := t.draw(rng, func(s *state) bool { return s.eligible(now, exclude, false) && !s.full() })
+		if explored != nil {
+			return explored.ID, true
+		}
+	}
 	for _, aside := range []bool{false, true} {
 		first := t.draw(rng, func(s *state) bool { return s.Near && s.eligible(now, exclude, aside) })
 		if first == nil {
@@ -235,7 +241,7 @@
 		}
 		best := first
 		second := t.draw(rng, func(s *state) bool { return s != first && s.eligible(now, exclude, aside) })
-		if second != nil && (first.full() || rng.Float64() >= explored) && t.cost(now, second) < t.cost(now, first) {
+		if second != nil && t.cost(now, second) < t.cost(now, first) {
 			best = second
 		}
 		return best.ID, true
--- /dev/null
+++ b/internal/request/placement/placement_test.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Unix(1000, 0)
+
+func newTable(upstreams ...Upstream) *Table {
+	t := &Table{}
+	t.Update(upstreams)
+	return t
+}
+
+func upstream(id string, near bool, service time.Duration, running, waiting int) Upstream {
+	return Upstream{ID: id, Near: near, Number: 1, Load: Load{Running: running, Waiting: waiting, Limit: 30, Service: service}}
+}
+
+// picks counts the choices of n attempts that end at once.
+func picks(t *Table, n int) map[string]int {
+	rng := rand.New(rand.NewPCG(5, 6))
+	count := map[string]int{}
+	for range n {
+		id, ok := t.Pick(start, rng, nil)
+		if !ok {
+			continue
+		}
+		count[id]++
+	}
+	return count
+}
+
+// Senders see a small part of the work of an upstream each; its own report shows
+// that it is full. Choices by the sender's in-flight counts go there all the same.
+func TestFullUpstreamGetsFewAttempts(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(upstream("full", true, 40*time.Millisecond, 30, 60), upstream("free", true, 40*time.Millisecond, 5, 0))
+	count := picks(table, 1000)
+	g.Expect(count["full"]).To(BeNumerically("<", 20))
+}
+
+// A slower upstream with room gets less, but is not forgotten.
+func TestSlowUpstreamIsNotForgotten(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(upstream("slow", true, 200*time.Millisecond, 0, 0), upstream("fast", true, 40*time.Millisecond, 5, 0))
+	count := picks(table, 5000)
+	g.Expect(count["slow"]).To(BeNumerically(">", 10))
+	g.Expect(count["fast"]).To(BeNumerically(">", 4*count["slow"]))
+}
+
+// On amff-mesh quiet-1 a server that joined got no requests from other hosts:
+// without a measured time it counted as slower than all others.
+func TestNewUpstreamGetsAttempts(t *testing.T) {
+	g := NewWithT(t)
+	joined := Upstream{ID: "joined", Near: false, Warming: true, Load: Load{Limit: 30}}
+	table := newTable(upstream("a", true, 22*time.Millisecond, 20, 0), upstream("b", false, 22*time.Millisecond, 20, 0), joined)
+	g.Expect(picks(table, 1000)["joined"]).To(BeNumerically(">", 10))
+}
+
+// With equal loads, attempts stay in the zone; a full zone sends them elsewhere.
+func TestZoneIsPreferredUntilItIsFull(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(upstream("near", true, 40*time.Millisecond, 10, 0), upstream("far", false, 40*time.Millisecond, 10, 0))
+	g.Expect(picks(table, 1000)["near"]).To(BeNumerically(">", 900))
+	table = newTable(upstream("near", true, 40*time.Millisecond, 30, 40), upstream("far", false, 40*time.Millisecond, 10, 0))
+	g.Expect(picks(table, 1000)["far"]).To(BeNumerically(">", 900))
+}
+
+// An upstream that fails quickly looks idle; its failures must count.
+func TestFailingUpstreamIsAvoidedAndTriedAgain(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(upstream("grey", true, 40*time.Millisecond, 0, 0), upstream("good", true, 40*time.Millisecond, 10, 0))
+	for range asideAfter {
+		table.Started("grey")
+		table.Finished(start, "grey", Failed)
+	}
+	g.Expect(picks(table, 1000)["grey"]).To(BeZero(), "set aside")
+	rng := rand.New(rand.NewPCG(7, 8))
+	later, tried := start.Add(10*time.Second), 0
+	for range 1000 {
+		if id, _ := table.Pick(later, rng, nil); id == "grey" {
+			tried++
+		}
+	}
+	g.Expect(tried).To(BeNumerically(">", 0))
+}
+
+// If all are set aside, one of them is used nevertheless.
+func TestAllSetAside(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(upstream("only", true, 40*time.Millisecond, 0, 0))
+	for range asideAfter {
+		table.Finished(start, "only", Failed)
+	}
+	g.Expect(picks(table, 10)["only"]).To(Equal(10))
+	_, ok := table.Pick(start, rand.New(rand.NewPCG(1, 1)), []string{"only"})
+	g.Expect(ok).To(BeFalse(), "an upstream that was tried is not used again")
+}
+
+// An older report does not replace a newer one.
+func TestOldReportsAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(upstream("a", true, 40*time.Millisecond, 0, 0))
+	table.Report("a", 5, Load{Running: 30, Limit: 30})
+	table.Report("a", 4, Load{Running: 0, Limit: 30})
+	g.Expect(table.find("a").full()).To(BeTrue())
+}
--- /dev/null
+++ b/internal/request/runqueue/runqueue_test.go
@@ -0,0 +1,158 @@
+package runqueue
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func id(n uint64) ID {
+	var id ID
+	binary.BigEndian.PutUint64(id[:], n)
+	return id
+}
+
+// replay feeds arrivals to a queue in front of a server with the given slots and
+// service time, and returns how many attempts per importance ended in time, and
+// how many were refused although they had begun.
+func replay(t *testing.T, slots int, service time.Duration, perSecond float64, timeout time.Duration, length time.Duration) (inTime, offered map[uint8]int) {
+	t.Helper()
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	q := New()
+	q.SetSlots(slots)
+	type end struct {
+		at time.Time
+		id ID
+	}
+	inTime, offered = map[uint8]int{}, map[uint8]int{}
+	attempts := map[ID]Attempt{}
+	var ends []end
+	start := time.Unix(0, 0)
+	next := uint64(0)
+	take := func(now time.Time, steps Steps) {
+		for _, started := range steps.Start {
+			g.Expect(attempts).To(HaveKey(started))
+			ends = append(ends, end{now.Add(service), started})
+		}
+		for _, refused := range steps.Refuse {
+			delete(attempts, refused.ID)
+		}
+	}
+	for now := start; now.Before(start.Add(length)); now = now.Add(time.Millisecond) {
+		for len(ends) > 0 && !ends[0].at.After(now) {
+			done := ends[0]
+			ends = ends[1:]
+			a := attempts[done.id]
+			if !now.After(a.Deadline) {
+				inTime[a.Importance]++
+			}
+			delete(attempts, done.id)
+			take(now, q.Finish(now, done.id, service))
+		}
+		take(now, q.Advance(now))
+		for range int(perSecond/1000) + bernoulli(rng, perSecond/1000) {
+			next++
+			a := Attempt{ID: id(next), Importance: uint8(next % 2), Deadline: now.Add(timeout)}
+			attempts[a.ID] = a
+			offered[a.Importance]++
+			take(now, q.Offer(now, a))
+		}
+		g.Expect(q.Running()).To(BeNumerically("<=", q.Limit()))
+	}
+	return inTime, offered
+}
+
+func bernoulli(rng *rand.Rand, p float64) int {
+	if rng.Float64() < p-float64(int(p)) {
+		return 1
+	}
+	return 0
+}
+
+// The load of the Trust's gift ledger in a burst: calls of 40 ms with 700 ms to
+// live arrive at twice the rate that 31 slots serve. No slot may be spent on a
+// call that ends too late, and the more important half is served nearly whole.
+func TestOverloadKeepsSlotsForWhatEndsInTime(t *testing.T) {
+	g := NewWithT(t)
+	const service = 40 * time.Millisecond
+	capacity := 0.94 * 31 / service.Seconds()
+	inTime, offered := replay(t, 31, service, 2*capacity, 700*time.Millisecond, 10*time.Second)
+	served := inTime[0] + inTime[1]
+	g.Expect(float64(served)).To(BeNumerically(">=", 0.95*capacity*10))
+	g.Expect(float64(inTime[0])).To(BeNumerically(">=", 0.95*float64(offered[0])))
+}
+
+// A server that is leaving or unknown gets nothing.
+func TestNoSlotsMeansNoStart(t *testing.T) {
+	g := NewWithT(t)
+	steps := New().Offer(time.Now(), Attempt{ID: id(1), Deadline: time.Now().Add(time.Second)})
+	g.Expect(steps.Start).To(BeEmpty())
+	g.Expect(steps.Refuse).To(ConsistOf(Refusal{ID: id(1), Reason: ReasonNoSlots}))
+}
+
+// Every attempt is started or refused once, never both: a refusal says that the
+// attempt has not run and never will.
+func TestEachAttemptEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		q := New()
+		q.SetSlots(rapid.IntRange(1, 5).Draw(t, "slots"))
+		now := time.Unix(0, 0)
+		ended := map[ID]string{}
+		var running, offered []ID
+		take := func(steps Steps) {
+			for _, started := range steps.Start {
+				g.Expect(ended[started]).To(BeEmpty())
+				ended[started] = "started"
+				running = append(running, started)
+			}
+			for _, refused := range steps.Refuse {
+				g.Expect(ended[refused.ID]).To(BeEmpty())
+				ended[refused.ID] = "refused"
+			}
+		}
+		for n := range uint64(rapid.IntRange(1, 200).Draw(t, "steps")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				a := Attempt{ID: id(n + 1), Importance: uint8(rapid.IntRange(0, 70).Draw(t, "importance")),
+					Deadline: now.Add(time.Duration(rapid.IntRange(-10, 300).Draw(t, "left")) * time.Millisecond)}
+				offered = append(offered, a.ID)
+				take(q.Offer(now, a))
+			case 2:
+				if len(running) > 0 {
+					done := running[0]
+					running = running[1:]
+					take(q.Finish(now, done, 20*time.Millisecond))
+				}
+			case 3:
+				if len(offered) > 0 {
+					cancelled := offered[rapid.IntRange(0, len(offered)-1).Draw(t, "cancel")]
+					if q.Cancel(cancelled) {
+						g.Expect(ended[cancelled]).To(BeEmpty())
+						ended[cancelled] = "cancelled"
+					}
+				}
+			}
+			g.Expect(q.Running()).To(Equal(len(running)))
+			g.Expect(q.Running()).To(BeNumerically("<=", q.Limit()))
+		}
+		for range 10 {
+			now = now.Add(100 * time.Millisecond)
+			take(q.Advance(now))
+			for len(running) > 0 {
+				done := running[0]
+				running = running[1:]
+				take(q.Finish(now, done, 0))
+			}
+		}
+		for _, a := range offered {
+			g.Expect(ended[a]).NotTo(BeEmpty())
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/shedding/shedding_test.go
@@ -0,0 +1,176 @@
+package shedding
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const interval = 500 * time.Millisecond
+
+// The Trust's mesh at its calm rate: "barrel" makes two calls of "shelf", each
+// of which leads to one "route" and four "donor" calls; "bundle" makes one
+// "route" call; "gift" is served by the ledger itself.
+var meshRoutes = map[string][]Share{
+	"barrel": {{"stallview", 1}},
+	"bundle": {{"bundler", 1}},
+	"gift":   {{"giftbook", 1}},
+	"shelf":  {{"bundler", 1}},
+	"route":  {{"vanbook", 1}},
+	"donor":  {{"giftbook", 1}},
+}
+
+func meshShares(route string) []Share { return meshRoutes[route] }
+
+// meshReports are the reports of a fleet in which requests enter at the given
+// rates and the runs are those of admitted ones.
+func meshReports(barrel, bundle, gift, admitted float64, wait time.Duration) []Report {
+	entered := barrel * admitted
+	shelf := 2 * entered
+	route := shelf + bundle
+	return []Report{
+		{Service: "stallview", Limit: 350, Runs: []RunReport{{Route: "barrel", Rate: entered, Work: 400 * time.Millisecond, Calls: []Calls{{"shelf", 2}}}},
+			Arrivals: []Arrivals{{"barrel", 10, barrel}, {"bundle", 8, bundle}, {"gift", 9, gift}}},
+		{Service: "bundler", Limit: 350, Runs: []RunReport{
+			{Route: "shelf", Rate: shelf, Work: 200 * time.Millisecond, Calls: []Calls{{"route", 1}}},
+			{Route: "bundle", Rate: bundle, Work: 400 * time.Millisecond, Calls: []Calls{{"route", 1}}}}},
+		{Service: "vanbook", Limit: 350, Runs: []RunReport{{Route: "route", Rate: route, Work: 180 * time.Millisecond, Calls: []Calls{{"donor", 4}}}}},
+		{Service: "giftbook", Limit: 87, Wait: wait, Runs: []RunReport{
+			{Route: "donor", Rate: 4 * route, Work: 40 * time.Millisecond}, {Route: "gift", Rate: gift, Work: 64 * time.Millisecond}}},
+	}
+}
+
+// At the calm rate nothing is shed.
+func TestCalmRateIsAdmitted(t *testing.T) {
+	g := NewWithT(t)
+	plan := NewPlan(DefaultOptions)
+	plan.Update(meshReports(168, 67, 46, 1, 0), meshShares)
+	for route, importance := range map[string]uint8{"barrel": 10, "bundle": 8, "gift": 9} {
+		g.Expect(plan.Share(route, importance)).To(Equal(1.0))
+	}
+}
+
+// At 1.7 times the calm rate the ledger is the bottleneck: the least important
+// trees are shed where they enter, the others are not, and what enters fills the
+// ledger's planned capacity.
+func TestBurstShedsTheLeastImportantTreesForTheDeepBottleneck(t *testing.T) {
+	g := NewWithT(t)
+	plan := NewPlan(DefaultOptions)
+	const barrel, bundle, gift = 168 * 1.7, 67 * 1.7, 46 * 1.7
+	share := 1.0
+	for range 20 {
+		plan.Update(meshReports(barrel, bundle, gift, share, 0), meshShares)
+		share = plan.Share("barrel", 10)
+	}
+	g.Expect(plan.Share("bundle", 8)).To(Equal(1.0))
+	g.Expect(plan.Share("gift", 9)).To(Equal(1.0))
+	g.Expect(share).To(BeNumerically("<", 1))
+	load := barrel*share*8*0.040 + bundle*4*0.040 + gift*0.064
+	g.Expect(load).To(BeNumerically("~", 87*DefaultOptions.Target*maxCorrection, 1))
+	_, service := shedOne(plan)
+	g.Expect(service).To(Equal("giftbook"))
+}
+
+func shedOne(plan *Plan) (bool, string) {
+	for {
+		if admitted, service := plan.Admit("barrel", 10); !admitted {
+			return admitted, service
+		}
+	}
+}
+
+// With ten times the load the important trees alone exceed the capacity, and the
+// least important kind still keeps its floor.
+func TestNoImportanceStarves(t *testing.T) {
+	g := NewWithT(t)
+	plan := NewPlan(DefaultOptions)
+	plan.Update(meshReports(1680, 670, 460, 0.2, 0), meshShares)
+	barrel, bundle := plan.Share("barrel", 10), plan.Share("bundle", 8)
+	g.Expect(barrel).To(BeNumerically(">", 0))
+	g.Expect(barrel).To(BeNumerically(">=", bundle/4), "served at least a quarter as often")
+}
+
+// Queues at the bottleneck lower its planned capacity, and it recovers when they
+// are gone.
+func TestQueuesLowerThePlannedCapacity(t *testing.T) {
+	g := NewWithT(t)
+	plan := NewPlan(DefaultOptions)
+	update := func(wait time.Duration) float64 {
+		plan.Update(meshReports(280, 110, 80, 0.5, wait), meshShares)
+		return plan.Share("barrel", 10)
+	}
+	before := update(0)
+	for range 8 {
+		update(200 * time.Millisecond)
+	}
+	during := update(200 * time.Millisecond)
+	g.Expect(during).To(BeNumerically("<", before))
+	for range 40 {
+		update(0)
+	}
+	g.Expect(update(0)).To(BeNumerically(">=", before))
+}
+
+// Admission is spread evenly: no run of refusals is longer than the share asks for.
+func TestAdmissionIsSpreadEvenly(t *testing.T) {
+	g := NewWithT(t)
+	plan := NewPlan(DefaultOptions)
+	plan.shares[class{"barrel", 10}] = 0.25
+	run, longest, admitted := 0, 0, 0
+	for range 1000 {
+		if ok, _ := plan.Admit("barrel", 10); ok {
+			admitted++
+			run = 0
+		} else {
+			run++
+			longest = max(longest, run)
+		}
+	}
+	g.Expect(admitted).To(Equal(250))
+	g.Expect(longest).To(Equal(3))
+}
+
+// The calls of a run do not name it; their numbers are learned from the rates.
+// "drop" makes none, "route" four, and both are served by the same server.
+func TestLearnerFindsTheCallsPerRun(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(3, 4))
+	l := NewLearner()
+	for range 120 {
+		routes, drops := rng.IntN(30), rng.IntN(6)
+		for range routes {
+			l.Ran("route", 180*time.Millisecond)
+			for range 4 {
+				l.Called("donor")
+			}
+		}
+		for range drops {
+			l.Ran("drop", 190*time.Millisecond)
+		}
+		l.Tick(interval)
+	}
+	calls := map[string]float64{}
+	for _, run := range l.Report() {
+		calls[run.Route] = 0
+		for _, c := range run.Calls {
+			calls[run.Route] = c.PerRun
+		}
+	}
+	g.Expect(calls["route"]).To(BeNumerically("~", 4, 0.4))
+	g.Expect(calls["drop"]).To(BeNumerically("<", 1))
+}
+
+// A route that nobody uses any more leaves the report.
+func TestLearnerForgetsIdleRoutes(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLearner()
+	l.Ran("route", time.Second)
+	l.Tick(interval)
+	g.Expect(l.Report()).To(HaveLen(1))
+	for range 40 {
+		l.Tick(interval)
+	}
+	g.Expect(l.Report()).To(BeEmpty())
+}
