--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -56,14 +56,21 @@
 	a.drain(ctx)
 	<-withdrawn
 	a.stopCallers(ctx)
+	a.Close()
+	logging.Event("agent", "stopped", "member", a.cfg.Member, "in_flight", a.entry.inFlight.Load(), "runs", a.executor.busy())
+	return nil
+}
+
+// Close ends the agent at once. What is in flight is cut.
+func (a *Agent) Close() {
 	a.cancel()
 	for _, server := range a.servers {
 		_ = server.Close() // the error is that of the listener, which may be closed
 	}
-	_ = a.packets.Close()
+	if a.packets != nil {
+		_ = a.packets.Close() // it reports a second Close
+	}
 	a.hub.Close()
-	logging.Event("agent", "stopped", "member", a.cfg.Member, "in_flight", a.entry.inFlight.Load(), "runs", a.executor.busy())
-	return nil
 }
 
 // stopCallers closes the port for callers.
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -84,7 +84,7 @@
 	lost := false
 	for ctx.Err() == nil {
 		begun := bootTime()
-		publication, err := p.read(ctx, known, next)
+		publication, err := p.read(ctx, known, next, lost)
 		if errors.Is(err, ErrHistoryLost) {
 			logging.Event("tables", "history-lost", "offset", uint64(next))
 			known = false
@@ -119,15 +119,21 @@
 	return begun + time.Duration(clockShare*float64(pollWait))
 }
 
-func (p *published) read(ctx context.Context, known bool, next Offset) (Publication, error) {
+// read makes one call. After a failure it does not wait for news, so that the end
+// of an outage is seen soon.
+func (p *published) read(ctx context.Context, known bool, next Offset, lost bool) (Publication, error) {
+	wait := pollWait
+	if lost {
+		wait = 0
+	}
 	if !known {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		return p.store.Newest(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	return p.store.Next(ctx, next, pollWait)
+	return p.store.Next(ctx, next, wait)
 }
 
 // apply puts a newer version in force. An unusable one leaves the former in force.
