--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -119,7 +119,7 @@
 	a.server = newServer(cfg.Heartbeat, cfg.ServerAddress)
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation)
 	a.executor = newExecutor(around.Protocol, a.server, backend.NewExchanger(maxBody), around.Metrics, log)
-	a.dispatcher = newDispatcher(a.fleet, a.executor, log)
+	a.dispatcher = newDispatcher(a.fleet, a.executor, around.Metrics, log)
 	a.entry = &entry{
 		protocol: around.Protocol, published: a.published, fleet: a.fleet, executor: a.executor, dispatcher: a.dispatcher,
 		server: a.server, service: cfg.Service, metrics: around.Metrics, log: log, splits: make(map[string]*split),
@@ -140,6 +140,9 @@
 		return eris.Wrap(err, "open the peer port for statuses; free it or change listen.peer")
 	}
 	a.packets = packets
+	if err := a.gauges(); err != nil {
+		return eris.Wrap(err, "register the gauges")
+	}
 	announce, ready := a.around.Control(a)
 	peers := mux.NewRouter()
 	peers.Handle(peer.Path, a.hub)
@@ -168,6 +171,26 @@
 	return nil
 }
 
+// gauges registers the metrics that are read at each exposition.
+func (a *Agent) gauges() error {
+	for _, gauge := range []struct {
+		name, description string
+		read              func() float64
+	}{
+		{"tarragon_tables_version", "Version of the tables in force, 0 if none is known.", func() float64 { return float64(a.published.version()) }},
+		{"tarragon_tables_age_seconds", "Time since the store last confirmed the tables.", func() float64 { return a.published.age().Seconds() }},
+		{"tarragon_members_usable", "Members whose backend servers take work.", a.fleet.usable},
+		{"tarragon_runs", "Attempts that run or wait at this host.", func() float64 { return float64(a.executor.busy()) }},
+		{"tarragon_in_flight", "Requests of callers and of the backend server in this daemon.", func() float64 { return float64(a.entry.inFlight.Load()) }},
+		{"tarragon_least_share", "Least share of a kind of request that the shedding plan admits.", a.fleet.leastShare},
+	} {
+		if err := a.around.Metrics.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // serve serves one port. A port that is not set is left out.
 func (a *Agent) serve(name string, address netip.AddrPort, handler http.Handler) error {
 	if !address.IsValid() {
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/request/placement"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
 	"tarragonshore.example/tarragonshore/internal/request/retry"
@@ -64,10 +65,11 @@
 // dispatcher sends attempts to executing daemons and waits for their answers.
 // Its lock guards waiters, budgets and counter.
 type dispatcher struct {
-	fleet *fleet
-	hub   *peer.Hub
-	local *executor
-	log   *requestLog
+	fleet   *fleet
+	hub     *peer.Hub
+	local   *executor
+	log     *requestLog
+	metrics *metrics.Metrics
 
 	mu      sync.Mutex
 	waiters map[wire.AttemptID]*waiter
@@ -76,9 +78,9 @@
 	counter uint64
 }
 
-func newDispatcher(f *fleet, local *executor, log *requestLog) *dispatcher {
+func newDispatcher(f *fleet, local *executor, m *metrics.Metrics, log *requestLog) *dispatcher {
 	d := &dispatcher{
-		fleet: f, local: local, log: log,
+		fleet: f, local: local, metrics: m, log: log,
 		waiters: make(map[wire.AttemptID]*waiter), budgets: make(map[string]*retry.Budget),
 	}
 	_, _ = crand.Read(d.prefix[:]) // crypto/rand.Read never fails
@@ -95,10 +97,13 @@
 		if !ok {
 			return d.giveUp(c, last, "no upstream of "+c.service+" is left")
 		}
+		sent := time.Now()
 		end := d.attempt(ctx, c, id, member)
 		d.fleet.finished(time.Now(), c.service, id, end.result())
 		if end.answer != nil {
 			d.fleet.reported(c.service, id, end.answer.Load)
+			elsewhere := time.Duration(end.answer.QueueMS+end.answer.ServiceMS) * time.Millisecond
+			d.metrics.EntryTime(c.service, max(0, time.Since(sent)-elsewhere))
 		}
 		c.tried = append(c.tried, id)
 		last = &end
@@ -109,6 +114,7 @@
 		}
 		again, reason := d.again(c, &end, reached, moves)
 		d.log.attempted(c, id, member, &end, reason)
+		d.metrics.Attempt(c.service, reason)
 		if !again {
 			if end.response != nil {
 				return end.response, nil
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -91,6 +91,7 @@
 	outcome := "answered"
 	if refusal != nil {
 		outcome = string(refusal.Kind)
+		e.metrics.Refusal(outcome, string(refusal.Executed))
 		e.protocol.Refuse(w, q.fields.RequestID, refusal)
 	} else {
 		status = response.Status
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -208,6 +208,7 @@
 	message.QueueMS = uint32(r.begun.Sub(r.arrived).Milliseconds())
 	message.ServiceMS = uint32(service.Milliseconds())
 	e.metrics.QueueDelay(r.attempt.Pool, r.begun.Sub(r.arrived))
+	e.metrics.BackendTime(r.attempt.Pool, service)
 	e.step(func(out *[]outgoing) runqueue.Steps {
 		delete(e.runs, r.attempt.ID)
 		steps := e.queue.Finish(now, r.attempt.ID, measured)
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -287,6 +287,26 @@
 	}
 }
 
+// usable returns the number of members that take work.
+func (f *fleet) usable() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0.0
+	for _, m := range f.members {
+		if m.usable {
+			n++
+		}
+	}
+	return n
+}
+
+// leastShare returns the least share that the plan admits.
+func (f *fleet) leastShare() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plan.Least()
+}
+
 // minArrivals is the rate below which arrivals are not reported, per second.
 const minArrivals = 0.02
 
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -27,6 +27,9 @@
 	attempts metric.Int64Counter
 	queued   metric.Float64Histogram
 	links    metric.Int64Counter
+	refusals metric.Int64Counter
+	service  metric.Float64Histogram
+	own      metric.Float64Histogram
 }
 
 // durationBounds are the bucket bounds in seconds.
@@ -66,6 +69,20 @@
 		metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
 		return err
 	}
+	if m.refusals, err = m.meter.Int64Counter("tarragon_refusals",
+		metric.WithDescription("Requests that the daemon refused or failed itself, by kind and by whether they have run.")); err != nil {
+		return err
+	}
+	if m.service, err = m.meter.Float64Histogram("tarragon_backend_time", metric.WithUnit("s"),
+		metric.WithDescription("Time of a run at the backend server."),
+		metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
+		return err
+	}
+	if m.own, err = m.meter.Float64Histogram("tarragon_entry_time", metric.WithUnit("s"),
+		metric.WithDescription("Time of a request outside queue and backend server: in daemons and on links."),
+		metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
+		return err
+	}
 	m.links, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links by event: up, or down."))
 	return err
@@ -109,6 +126,31 @@
 	m.queued.Record(context.Background(), delay.Seconds(), metric.WithAttributes(attribute.String("pool", pool)))
 }
 
+// Refusal records a refusal by its kind; executed is "no" or "unknown".
+func (m *Metrics) Refusal(kind, executed string) {
+	if m == nil {
+		return
+	}
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind),
+		attribute.String("executed", executed)))
+}
+
+// BackendTime records the time of a run at the backend server.
+func (m *Metrics) BackendTime(pool string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.service.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("pool", pool)))
+}
+
+// EntryTime records the time that a request spent outside queue and backend server.
+func (m *Metrics) EntryTime(pool string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.own.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("pool", pool)))
+}
+
 // Link records that a peer link came up or went down.
 func (m *Metrics) Link(event string) {
 	if m == nil {
--- a/internal/process/settings/reference_test.go
+++ b/internal/process/settings/reference_test.go
@@ -10,7 +10,7 @@
 
 var _ = Describe("the operators' page", func() {
 	page := func() string {
-		text, err := os.ReadFile("../../../docs/operators.md")
+		text, err := os.ReadFile("../../../docs/OPERATIONS.md")
 		Expect(err).NotTo(HaveOccurred())
 		return string(text)
 	}
--- a/internal/request/shedding/shedding.go
+++ b/internal/request/shedding/shedding.go
@@ -137,6 +137,15 @@
 	return 1
 }
 
+// Least returns the least share of any kind of request that may enter.
+func (p *Plan) Least() float64 {
+	least := 1.0
+	for _, share := range p.shares {
+		least = min(least, share)
+	}
+	return least
+}
+
 // serviceState sums the reports about one service.
 type serviceState struct {
 	capacity float64 // requests at once
