--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -344,7 +344,8 @@
 func reportOf(m *member, now time.Time) shedding.Report {
 	r := shedding.Report{Arrivals: m.status.Arrivals}
 	if m.takesWork(now) {
-		r.Service, r.Limit, r.Wait, r.Runs = m.status.Service, m.status.Load.Limit, m.status.Wait, m.status.Runs
+		r.Service, r.Limit, r.Running = m.status.Service, m.status.Load.Limit, m.status.Load.Running
+		r.Wait, r.Runs = m.status.Wait, m.status.Runs
 	}
 	return r
 }
--- a/internal/request/shedding/shedding.go
+++ b/internal/request/shedding/shedding.go
@@ -50,6 +50,7 @@
 	Arrivals []Arrivals
 	Service  string // of its backend server; "" if it has none in service
 	Limit    int    // requests that its backend server may run at once
+	Running  int    // requests that it runs
 	Wait     time.Duration
 	Runs     []RunReport
 }
@@ -84,12 +85,18 @@
 	maxDepth = 10
 	// minVisits ends the expansion of a branch that few requests take.
 	minVisits = 0.01
-	// Bounds of the correction of a capacity, and its change per plan.
-	minCorrection   = 0.5
+	// Bounds of the correction of a capacity, and its change per plan. Requests
+	// that entered before a cut keep arriving for about a second, so that queues
+	// are no reason to cut deeply; idle slots while requests are refused are a
+	// reason to raise quickly.
+	minCorrection   = 0.65
 	maxCorrection   = 1.1
 	correctionUp    = 0.02
-	correctionDown  = 0.03
+	correctionFill  = 0.06
+	correctionDown  = 0.01
 	maxWaitMultiple = 4.0
+	// idleBelow is the share of running requests below which slots count as idle.
+	idleBelow = 0.85
 )
 
 type class struct {
@@ -149,6 +156,7 @@
 // serviceState sums the reports about one service.
 type serviceState struct {
 	capacity float64 // requests at once
+	running  float64
 	wait     float64 // seconds, weighted by capacity
 	runs     map[string]*runState
 }
@@ -207,6 +215,7 @@
 			services[report.Service] = s
 		}
 		s.capacity += float64(report.Limit)
+		s.running += float64(report.Running)
 		s.wait += float64(report.Limit) * report.Wait.Seconds()
 		for _, run := range report.Runs {
 			s.add(run)
@@ -270,9 +279,12 @@
 		if !known {
 			c = 1
 		}
-		if excess := service.wait / p.options.WaitTarget.Seconds(); excess > 1 {
+		switch excess := service.wait / p.options.WaitTarget.Seconds(); {
+		case excess > 1:
 			c -= correctionDown * min(excess, maxWaitMultiple)
-		} else {
+		case service.running < idleBelow*service.capacity:
+			c += correctionFill
+		default:
 			c += correctionUp
 		}
 		p.correction[name] = min(max(c, minCorrection), maxCorrection)
--- a/internal/request/shedding/shedding_test.go
+++ b/internal/request/shedding/shedding_test.go
@@ -113,6 +113,58 @@
 	g.Expect(update(0)).To(BeNumerically(">=", before))
 }
 
+// closedLoop plays a bottleneck whose capacity is halved: trees that enter reach
+// it half a second later, work that waits too long is lost, and statuses are half
+// a second old. It returns the useful share of the smaller capacity afterwards.
+func closedLoop(demand float64) float64 {
+	const (
+		step     = 50 * time.Millisecond
+		cost     = 0.32 // seconds of a slot for each tree
+		inflight = 10   // steps from the entry to the bottleneck
+		patience = 0.5  // seconds that work may wait
+		drop     = 200  // step at which the capacity is halved
+		end      = 500
+	)
+	plan := NewPlan(DefaultOptions)
+	limit, backlog, useful := 87.0, 0.0, 0.0
+	arriving := make([]float64, inflight)
+	var reported []Report
+	for n := range end {
+		if n == drop {
+			limit /= 2
+		}
+		capacity := limit * step.Seconds()
+		backlog += arriving[n%inflight]
+		arriving[n%inflight] = demand * plan.Share("barrel", 10) * step.Seconds() * cost
+		done := min(backlog, capacity)
+		backlog = min(backlog-done, patience*limit)
+		if n >= drop+20 {
+			useful += done / capacity
+		}
+		if n%5 == 0 { // a plan, from statuses of one or two plans before
+			if reported != nil {
+				plan.Update(reported, meshShares)
+			}
+			rate := arriving[n%inflight] / step.Seconds() / cost
+			reported = []Report{{Service: "stallview", Limit: 350, Arrivals: []Arrivals{{"barrel", 10, demand}},
+				Runs: []RunReport{{Route: "barrel", Rate: max(rate, 1), Work: 300 * time.Millisecond, Calls: []Calls{{"donor", 8}}}}},
+				{Service: "giftbook", Limit: int(limit), Running: int(done / capacity * limit), Wait: time.Duration(backlog / limit * float64(time.Second)),
+					Runs: []RunReport{{Route: "donor", Rate: 8 * max(rate, 1), Work: 40 * time.Millisecond}}}}
+		}
+	}
+	return useful / float64(end-drop-20)
+}
+
+// The incident on mvldt-mesh: one of three servers of the bottleneck left, its
+// queue filled, and the correction cut so deeply and rose so slowly that slots
+// stayed idle for 7 s while three quarters of the requests were refused.
+func TestCapacityLossDoesNotLeaveSlotsIdle(t *testing.T) {
+	g := NewWithT(t)
+	for _, demand := range []float64{200, 300, 500} {
+		g.Expect(closedLoop(demand)).To(BeNumerically(">=", 0.9), "demand %v", demand)
+	}
+}
+
 // Admission is spread evenly: no run of refusals is longer than the share asks for.
 func TestAdmissionIsSpreadEvenly(t *testing.T) {
 	g := NewWithT(t)
