--- a/internal/connection/backend/exchange_test.go
+++ b/internal/connection/backend/exchange_test.go
@@ -182,7 +182,15 @@
 		return <-connections
 	}
 	first := use(true)
-	g.Expect(use(false)).To(Equal(first), "used a moment ago")
+	// On a busy machine the second use can come too late for the first connection.
+	for begun := time.Now(); ; begun = time.Now() {
+		again := use(false)
+		if time.Since(begun) < recentUse {
+			g.Expect(again).To(Equal(first), "used a moment ago")
+			break
+		}
+		first = again
+	}
 	time.Sleep(recentUse + 50*time.Millisecond)
 	second := use(false)
 	g.Expect(second).NotTo(Equal(first))
--- a/internal/process/settings/reference_test.go
+++ b/internal/process/settings/reference_test.go
@@ -16,13 +16,16 @@
 	}
 
 	// Guards against a settings reference that is out of date.
-	It("shows the settings of tarragond as they are declared", func() {
-		_, rest, found := strings.Cut(page(), "<!-- settings: begin -->\n")
+	DescribeTable("shows the settings as they are declared", func(mark string, reference func() string) {
+		_, rest, found := strings.Cut(page(), "<!-- "+mark+": begin -->\n")
 		Expect(found).To(BeTrue())
-		shown, _, found := strings.Cut(rest, "<!-- settings: end -->")
+		shown, _, found := strings.Cut(rest, "<!-- "+mark+": end -->")
 		Expect(found).To(BeTrue())
-		Expect(shown).To(Equal(DaemonReference()), "run scripts/render-settings")
-	})
+		Expect(shown).To(Equal(reference()), "run scripts/render-settings")
+	},
+		Entry("of tarragond", "settings", DaemonReference),
+		Entry("of tarragon-agent", "agent-settings", AgentReference),
+	)
 
 	// Guards against a setting of tarragonctl that the page lacks or describes otherwise.
 	It("describes each setting of tarragonctl", func() {
