Say 'not executed' only if it holds for all attempts of a request

Cause: found by reading: an idempotent request whose first attempt ran and was lost, and whose second was refused, got the second one's 503. The answer of a backend server is now delivered although a later attempt was refused, and a refusal after an attempt that may have run says that the outcome is unknown.

--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -91,11 +91,11 @@
 func (d *dispatcher) run(ctx context.Context, c *call) (*wire.Response, *problem.Problem) {
 	d.firstAttempt(c.service)
 	reached, moves := 0, 0
-	var last *attemptEnd
+	var ends outcome
 	for {
 		id, member, ok := d.fleet.pick(time.Now(), c.service, c.tried)
 		if !ok {
-			return d.giveUp(c, last, "no upstream of "+c.service+" is left")
+			return ends.final("no upstream of " + c.service + " is left")
 		}
 		sent := time.Now()
 		end := d.attempt(ctx, c, id, member)
@@ -106,7 +106,7 @@
 			d.metrics.EntryTime(c.service, max(0, time.Since(sent)-elsewhere))
 		}
 		c.tried = append(c.tried, id)
-		last = &end
+		ends.add(&end)
 		if end.answer == nil || end.answer.Reached {
 			reached++
 		} else {
@@ -116,10 +116,7 @@
 		d.log.attempted(c, id, member, &end, reason)
 		d.metrics.Attempt(c.service, reason)
 		if !again {
-			if end.response != nil {
-				return end.response, nil
-			}
-			return d.giveUp(c, last, reason)
+			return ends.final(reason)
 		}
 	}
 }
@@ -155,15 +152,39 @@
 
 func (e *attemptEnd) answerReached() bool { return e.answer != nil && e.answer.Reached }
 
-// giveUp returns the end of a call without a successful answer.
-func (d *dispatcher) giveUp(c *call, last *attemptEnd, detail string) (*wire.Response, *problem.Problem) {
+// outcome is what the attempts of a call have come to.
+type outcome struct {
+	response *wire.Response   // the latest one of a backend server
+	refusal  *problem.Problem // of the latest attempt, nil if it was answered
+	mayRun   bool             // an attempt ran, or may have
+}
+
+// add takes the end of an attempt.
+func (o *outcome) add(end *attemptEnd) {
+	if end.response != nil {
+		o.response = end.response
+	}
+	o.refusal = end.refusal
+	if end.refusal == nil || end.refusal.Executed != problem.ExecutedNo {
+		o.mayRun = true
+	}
+}
+
+// final returns what the caller gets: the answer of a backend server if there is
+// one, and otherwise a refusal, which says "not executed" only if that holds for
+// all attempts.
+func (o *outcome) final(detail string) (*wire.Response, *problem.Problem) {
 	switch {
-	case last == nil:
+	case o.response != nil:
+		return o.response, nil
+	case o.refusal == nil:
 		return nil, problem.New(problem.KindNoUpstream, detail).WithRetryAfter(refusedRetry)
-	case last.response != nil:
-		return last.response, nil
+	case o.mayRun:
+		refusal := *o.refusal
+		refusal.Executed = problem.ExecutedUnknown
+		return nil, &refusal
 	}
-	return nil, last.refusal
+	return nil, o.refusal
 }
 
 // firstAttempt counts a call for the repeat budget of its service.
