Replace a wait group that a starting server and a stop used at once

Server now keeps a flag under its lock. Ruled out: other causes of these failures; no assertion failed.

--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -26,11 +26,10 @@
 // closes it, if the request arrives after Shutdown has begun.
 type Server struct {
 	http *http.Server
-	// accepting counts the calls of Serve that accept connections.
-	accepting sync.WaitGroup
 
-	mu   sync.Mutex
-	open map[net.Conn]connection
+	mu        sync.Mutex
+	open      map[net.Conn]connection
+	accepting bool // Serve accepts connections
 }
 
 // connection is the state of an open connection.
@@ -42,11 +41,17 @@
 // Serve accepts connections until Stop or Close. It always returns an error,
 // net.ErrClosed or http.ErrServerClosed after these.
 func (s *Server) Serve(listener net.Listener) error {
-	s.accepting.Add(1)
-	defer s.accepting.Done()
+	s.setAccepting(true)
+	defer s.setAccepting(false)
 	return s.http.Serve(listener)
 }
 
+func (s *Server) setAccepting(accepting bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting = accepting
+}
+
 // track follows the states of the connections.
 func (s *Server) track(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -59,17 +64,17 @@
 	}
 }
 
-// busy returns the number of connections that may hold a request.
-func (s *Server) busy(now time.Time) int {
+// busy reports whether a connection may hold a request, or one that was accepted
+// may not be tracked yet.
+func (s *Server) busy(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
 	for _, c := range s.open {
 		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < silentConnection {
-			n++
+			return true
 		}
 	}
-	return n
+	return s.accepting
 }
 
 // Stop accepts the connections that wait at the listener, closes it, answers all
@@ -83,9 +88,8 @@
 		drained = nil // callers go on connecting; the next step ends that
 	}
 	closed := listener.Close()
-	s.accepting.Wait() // from here on all accepted connections are tracked
 	s.http.SetKeepAlivesEnabled(false)
-	for s.busy(time.Now()) > 0 && ctx.Err() == nil {
+	for s.busy(time.Now()) && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-time.After(stopPoll):
