--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -41,7 +41,6 @@
 	importance uint8
 	idempotent bool
 	attempts   int // upstreams that it may reach
-	begun      time.Time
 	deadline   time.Time
 	request    wire.Request
 	tried      []string
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -130,7 +130,7 @@
 	return e.dispatcher.run(ctx, &call{
 		requestID: q.fields.RequestID, route: q.route.Name, service: e.choose(q.route, c.Version()), origin: e.origin(),
 		workspace: q.workspace, importance: q.importance, idempotent: q.route.Idempotent, attempts: q.route.Attempts,
-		begun: q.begun, deadline: q.deadline, request: request,
+		deadline: q.deadline, request: request,
 	})
 }
 
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -185,13 +185,6 @@
 	return workspace, ok
 }
 
-// Workspaces calls visit for each workspace.
-func (c *Catalog) Workspaces(visit func(*Workspace)) {
-	for _, workspace := range c.names {
-		visit(workspace)
-	}
-}
-
 // Routes calls visit for each route.
 func (c *Catalog) Routes(visit func(*Route)) {
 	for _, routes := range c.byHost {
