backend, peer: responses without end are bounded; a probe replaces no link

Cause 1: http.ReadResponse accepts a head of any size. Closing the body of a response over the limit read on to its end (64 MiB of chunks). Bodies within the limit for one response had no bound together. Change: at most 64 KiB of one head; a body is not closed but the connection is; at most 32 MiB of bodies of all exchanges in progress. Clients of the store, of the log and of peers bound the head too (64 KiB, 16 KiB for a handshake).

Change: an accepted link becomes current with its first message; the side that dials sends a ping at once.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -92,11 +92,12 @@
 	return &Client{
 		maxBody: maxBody,
 		transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConns:        connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DialContext:            dial,
+			MaxIdleConns:           connections,
+			MaxIdleConnsPerHost:    connections,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -47,7 +49,15 @@
 	// was read. Then the connection is closed.
 	writeGrace      = 50 * time.Millisecond
 	readBufferBytes = 2 << 10
-	userAgent       = "User-Agent"
+	// maxHeadBytes bounds the status line and the header section of one response.
+	maxHeadBytes = 64 << 10
+	// maxBufferedBytes bounds the bodies that the exchanges in progress have read,
+	// together: each may be within the limit for one body, and all of them too much for
+	// the memory of the host.
+	maxBufferedBytes = 32 << 20
+	// bodyReadBytes is the most that an exchange reads of a body at a time.
+	bodyReadBytes = 64 << 10
+	userAgent     = "User-Agent"
 )
 
 // Errors of an exchange, wrapped in *Error.
@@ -57,6 +67,10 @@
 	// ErrContentEncoded means that the response has a Content-Encoding. Since the
 	// request asked for none, the response counts as corrupted in transit.
 	ErrContentEncoded = errors.New("the response has a Content-Encoding that was not asked for")
+	// ErrHeadTooLarge means that the server sent maxHeadBytes without a complete head.
+	ErrHeadTooLarge = errors.New("the head of the response is larger than 64 KiB")
+	// ErrBuffersFull means that the responses in progress hold maxBufferedBytes.
+	ErrBuffersFull = errors.New("the responses in progress hold 32 MiB; lower the number of slots or the size of responses")
 )
 
 // Exchange is one request to a backend server.
@@ -88,6 +102,8 @@
 type Exchanger struct {
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	maxBody int64
+	// buffered is the size of the bodies that the exchanges in progress have read.
+	buffered atomic.Int64
 
 	mu      sync.Mutex
 	address string  // of the server that the idle connections lead to
@@ -97,7 +113,8 @@
 // conn is a connection with its read buffer.
 type conn struct {
 	net.Conn
-	reader     *bufio.Reader
+	reader     *bufio.Reader // reads from limited
+	limited    *headLimiter
 	lastUsed   time.Time
 	reuseUntil time.Time // from the Keep-Alive field of the last response
 }
@@ -173,7 +190,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	limited := &headLimiter{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
+}
+
+// headLimiter bounds the bytes that are read from a connection while the head of a
+// response is parsed, since net/http's ReadResponse accepts a head of any size.
+type headLimiter struct {
+	source io.Reader
+	active bool
+	left   int // bytes that may still be read while active
+}
+
+func (l *headLimiter) start() { l.active, l.left = true, maxHeadBytes }
+func (l *headLimiter) stop()  { l.active = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
@@ -325,21 +367,22 @@
 // read reads one response. skipped is true if it is informational, or to another
 // request, so that the caller has to read the next one.
 func (x *Exchanger) read(c *conn, request *http.Request, matches func(int, http.Header) bool) (result *Response, reusable, skipped bool, err error) {
+	c.limited.start()
 	response, err := http.ReadResponse(c.reader, request)
+	c.limited.stop()
 	if err != nil {
 		return nil, false, false, err
 	}
-	defer response.Body.Close()
+	// response.Body is not closed: Close would read a body without end. The connection is
+	// closed instead if the body was not read to its end.
 	if response.StatusCode < http.StatusOK {
 		return nil, false, true, nil // informational
 	}
 	unrelated := matches != nil && !matches(response.StatusCode, response.Header)
-	body, err := io.ReadAll(io.LimitReader(response.Body, x.maxBody+1))
+	body, err := x.readBody(response.Body)
 	switch {
 	case err != nil:
 		return nil, false, false, err
-	case int64(len(body)) > x.maxBody:
-		return nil, false, false, ErrTooLarge
 	case unrelated && response.Close:
 		return nil, false, false, ErrUnrelatedResponse
 	case unrelated:
@@ -352,6 +395,27 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, false, nil
 }
 
+// readBody reads a body to its end. Its bytes count as buffered while it is read.
+func (x *Exchanger) readBody(source io.Reader) (body []byte, err error) {
+	defer func() { x.buffered.Add(-int64(len(body))) }()
+	for size := 512; ; size = min(max(size, len(body)), bodyReadBytes) {
+		body = slices.Grow(body, size)
+		n, err := source.Read(body[len(body):min(cap(body), len(body)+bodyReadBytes)])
+		body = body[:len(body)+n]
+		total := x.buffered.Add(int64(n))
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return body, err
+		case int64(len(body)) > x.maxBody:
+			return body, ErrTooLarge
+		case total > maxBufferedBytes:
+			return body, ErrBuffersFull
+		}
+	}
+}
+
 // keepAliveTime returns how long a connection may stay idle according to the
 // Keep-Alive field of a response.
 func keepAliveTime(header http.Header) time.Duration {
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -31,6 +31,7 @@
 	dialed       bool
 	opened       time.Time
 	lastReceived atomic.Int64 // time of the last received message, in ns since opened
+	usable       atomic.Bool  // may be the current link: dialed, or a message has arrived
 
 	closeOnce sync.Once
 	done      chan struct{}
@@ -181,6 +182,9 @@
 		}
 		silenceTimer.Reset(l.hub.cfg.SilenceTimeout)
 		l.lastReceived.Store(int64(time.Since(l.opened)))
+		if l.usable.CompareAndSwap(false, true) {
+			l.hub.promote(l)
+		}
 		switch ping := m.(type) {
 		case *wire.Ping:
 			if err := l.Send(wire.Pong{Number: ping.Number}); err != nil {
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -1,7 +1,9 @@
 // Package peer manages the links between daemons, which are WebSocket connections.
 //
 // A Hub holds the links that its daemon dialed, usually one per member, and any number
-// that peers dialed. A link without any message for Config.SilenceTimeout is closed, so
+// that peers dialed. An accepted link is used for sending only after a message has
+// arrived on it, since a peer's Probe ends right after the Hello. The side that dials a
+// link therefore sends a Ping at once. A link without any message for Config.SilenceTimeout is closed, so
 // that a connection whose state was lost in the network, for example in a firewall, is
 // replaced in a bounded time. The Handler settles the requests that were in flight on a
 // closed link.
@@ -22,6 +24,9 @@
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 )
 
+// maxHandshakeBytes bounds the response to a WebSocket handshake.
+const maxHandshakeBytes = 16 << 10
+
 // Path is the path on the peer port at which a daemon accepts links.
 const Path = "/peer"
 
@@ -137,7 +142,7 @@
 		defer cancel()
 		return cfg.Dial(ctx, address)
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHandshakeBytes}}
 }
 
 // Current returns the current link to a member, if there is one.
@@ -345,16 +350,31 @@
 	h.opened++
 	l.number = h.opened
 	h.openLinks[l] = struct{}{}
-	h.current[l.peer.Member] = l
+	if l.dialed {
+		l.usable.Store(true)
+		h.current[l.peer.Member] = l
+	}
 	return l, nil
 }
 
+// promote makes an accepted link the current one to its member.
+func (h *Hub) promote(l *link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, open := h.openLinks[l]; open && !l.isClosed() {
+		h.current[l.peer.Member] = l
+	}
+}
+
 // run runs the loops of a registered link until it is closed, and removes it.
 func (h *Hub) run(l *link) {
 	h.handler.LinkUp(l)
 	var loops sync.WaitGroup
 	loops.Go(l.pingLoop)
 	loops.Go(l.writeLoop)
+	if l.dialed {
+		_ = l.Send(wire.Ping{}) // fails if the link has closed, which readLoop reports
+	}
 	reason := l.readLoop()
 	l.Close(reason)
 	loops.Wait()
@@ -373,7 +393,7 @@
 	}
 	delete(h.current, l.peer.Member)
 	for other := range h.openLinks {
-		if other.peer.Member == l.peer.Member && !other.isClosed() {
+		if other.peer.Member == l.peer.Member && other.usable.Load() && !other.isClosed() {
 			h.current[l.peer.Member] = other
 			return
 		}
--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -25,6 +25,8 @@
 	dialTimeout           = 2 * time.Second
 	idleConnTimeout       = 60 * time.Second
 	maxIdleConns          = 4 // one long poll for each stream, and one append
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxShortResponseBytes bounds what is read of a response that holds no records.
 	maxShortResponseBytes = 4 << 10
 	// maxBatchBytes bounds the response to a read, which holds the records in base64.
@@ -83,9 +85,10 @@
 			// be unclear which server responded to an append.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-				MaxIdleConnsPerHost: maxIdleConns,
-				IdleConnTimeout:     idleConnTimeout,
+				DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				MaxIdleConnsPerHost:    maxIdleConns,
+				IdleConnTimeout:        idleConnTimeout,
+				MaxResponseHeaderBytes: maxHeadBytes,
 			},
 		},
 	}
