agent: the tables are confirmed through one reader per availability zone

Cause: each daemon held a long poll of its own to prove that no newer tables exist. Change: package confirmation decides, without I/O, who reads the store (the first of each zone by a hash of the names; no election that has to be right) and whom the others ask. A question goes over the peer link and is parked until the reader's next confirmation. The reply says version, age and how long the question was held, which proves freshness without agreed clocks. New versions travel with the reply, keys as digests. A daemon that finds nobody to ask reads the store, spread over time and with back-off. Daemons of the former release are never asked, since their statuses have no tables source. Found on the way, and mended: a poll that ended with a publication confirmed only its own begin, so that for up to 4 s after a publication the daemon was not ready (limit 3.5 s); the reader now reads once more at once (TestPublicationIsConfirmedAtOnce, TestHostsOutliveTheReaderTheyAsk failed before). version_age_ms was before the first confirmation; it is -1 now.

Tests: a rapid state machine (clocks with drift, pauses, restarts, lost, delayed and doubled messages) checks that no proof is too fresh; cases for each decision; on real sockets: calls of 10 hosts in 6 s within 2 polls a zone and 2 s (before: one poll a host and 2 s), versions at 8 hosts within 1 s, hosts that outlive their reader, an outage.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -279,6 +279,10 @@
 // TablesRequest asks a peer for its tables.
 type TablesRequest struct {
 	Number uint64 `cbor:"1,keyasint"`
+	// Version is that of the sender's tables, and Park is true if the answer may wait for
+	// the peer's next confirmation. Only tarragon-agent sets them.
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+	Park    bool   `cbor:"3,keyasint,omitempty"`
 }
 
 // TablesReply carries an encoded snapshot of the tables. For a requester that cannot
@@ -290,6 +294,13 @@
 	// Alive is the number of members, other than the requester, that are alive in
 	// the view of the sender.
 	Alive int `cbor:"4,keyasint,omitempty"`
+	// Only tarragon-agent sets the fields below. Its Snapshot is a snapshot of the
+	// catalog, and empty if the requester's version is as new.
+	Version uint64        `cbor:"5,keyasint,omitempty"` // in force at the sender
+	Age     time.Duration `cbor:"6,keyasint,omitempty"` // since the sender's tables were confirmed
+	Held    time.Duration `cbor:"7,keyasint,omitempty"` // from the receipt of the request to the reply
+	// Next is the store's offset after the publication of Version, 0 if not known.
+	Next uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // GroupKeeper names the keeper of a rate group. If two messages differ, the one with
@@ -351,8 +362,22 @@
 	// backend server refused or lost. Both are per second.
 	Ended  float64 `cbor:"17,keyasint,omitempty"`
 	Failed float64 `cbor:"18,keyasint,omitempty"`
+	// TablesSource is where the sender's tables are confirmed. It is absent in statuses
+	// of releases that do not answer a TablesRequest.
+	TablesSource TablesSource `cbor:"19,keyasint,omitempty"`
 }
 
+// TablesSource is where the tables of a tarragon-agent are confirmed.
+type TablesSource uint8
+
+// The sources of confirmations.
+const (
+	SourceUnknown   TablesSource = iota
+	SourcePeers                  // it asks other members
+	SourceStore                  // it reads the store for its availability zone
+	SourceStoreLost              // it has to read the store, and the last read failed
+)
+
 // WorkspaceUsage is a daemon's report about one workspace. Since a Status holds one for
 // each workspace with requests, it is encoded as an array, which takes less space.
 type WorkspaceUsage struct {
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -12,7 +12,7 @@
 //
 // Locking order: Agent.statusMu, then one of executor.mu and fleet.mu, then
 // serverState.mu (only under statusMu or executor.mu). The other locks are taken
-// alone, and tablesFollower is lock-free. No lock is held while sending on a link or
+// alone. No lock is held while sending on a link or
 // calling the store or the backend server.
 package agent
 
@@ -46,8 +46,9 @@
 	// planInterval is the time between computations of the shedding plan and the
 	// rate shares.
 	planInterval = 250 * time.Millisecond
-	// directoryInterval is the time between reads of the directory. It can be long,
-	// since members that start later make themselves known by sending a status.
+	// directoryInterval is the time between reads of the directory, by the daemons that
+	// read the store for their zone. It can be long, since members that start later make
+	// themselves known by sending a status.
 	directoryInterval = time.Minute
 	// directoryRetryDelay is the delay after a failed call to the directory.
 	directoryRetryDelay = 500 * time.Millisecond
@@ -117,6 +118,8 @@
 	statusNumber   uint64
 	lastStatus     wire.Status // the last one sent; its rates are repeated until an interval ends
 	leaving        atomic.Bool
+	// question is the question to a peer about its tables that waits for a reply.
+	question atomic.Pointer[pendingQuestion]
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -127,7 +130,8 @@
 func New(cfg Config, deps Dependencies) *Agent {
 	log := newRequestLog()
 	a := &Agent{cfg: cfg, deps: deps, incarnation: uint64(time.Now().UnixNano())}
-	a.tables = newTablesFollower(deps.Store, cfg.RevokeBound)
+	a.tables = newTablesFollower(deps.Store, cfg.RevokeBound, cfg.Member, cfg.Zone)
+	a.tables.peers = a
 	a.server = newServerState(cfg.HeartbeatInterval, cfg.ServerAddress)
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation, cfg.Tolerance)
 	a.executor = newExecutor(deps.Protocol, a.server, backend.NewExchanger(maxBodyBytes), deps.Metrics, log)
@@ -140,6 +144,7 @@
 		peer.Config{PingInterval: linkPingInterval, SilenceTimeout: linkSilenceLimit, DialTimeout: peer.DefaultConfig.DialTimeout, Dial: deps.Network.Dial}, a)
 	a.dispatcher.hub = a.hub
 	a.tables.onChange = a.fleet.pruneArrivals
+	a.tables.announce = func() { a.broadcast(0) }
 	a.server.onChange = a.serverChanged
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
@@ -260,6 +265,8 @@
 func (a *Agent) LinkDown(l peer.Link, reason string) {
 	logging.InfoEvent("link", "down", "member", l.Peer().Member, "number", l.Number(), "reason", reason)
 	a.dispatcher.linkLost(l.Number(), reason)
+	a.questionLinkLost(l.Number())
+	a.tables.dropParked(l.Number())
 	a.executor.receiverLost(linkReceiver{l})
 }
 
@@ -272,6 +279,10 @@
 		a.dispatcher.deliver(m)
 	case *wire.Cancel:
 		a.executor.abandon(m.ID)
+	case *wire.TablesRequest:
+		a.tables.onQuestion(l, m)
+	case *wire.TablesReply:
+		a.onTablesReply(l, m)
 	default:
 		logging.WarningEvent("link", "message-not-expected", "member", l.Peer().Member, "type", int(m.Type()))
 	}
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -11,6 +11,7 @@
 	"tarragonshore.example/tarragonshore/internal/request/placement"
 	"tarragonshore.example/tarragonshore/internal/request/shedding"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
+	"tarragonshore.example/tarragonshore/internal/version/confirmation"
 )
 
 const (
@@ -58,12 +59,12 @@
 
 	mu      sync.Mutex
 	started time.Time
-	// directoryRead is true after the first successful read of the directory.
-	directoryRead  bool
-	members        map[string]*member
-	placements     map[string]*placement.Table // by service
-	memberByServer map[string]string           // member name by backend server id
-	plan           *shedding.Plan
+	// directoryReadAt is when the directory was first read; zero: never.
+	directoryReadAt time.Time
+	members         map[string]*member
+	placements      map[string]*placement.Table // by service
+	memberByServer  map[string]string           // member name by backend server id
+	plan            *shedding.Plan
 	// planLoggedAt is when the shedding plan was last logged.
 	planLoggedAt time.Time
 	limiter      *rateshare.Limiter
@@ -108,7 +109,9 @@
 func (f *fleet) markDirectoryRead() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.directoryRead = true
+	if f.directoryReadAt.IsZero() {
+		f.directoryReadAt = time.Now()
+	}
 }
 
 // membersKnown reports whether this daemon knows how many others share the rates. A
@@ -117,7 +120,48 @@
 func (f *fleet) membersKnown(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.directoryRead || now.Sub(f.started) > startupTime
+	return !f.directoryReadAt.IsZero() || now.Sub(f.started) > startupTime
+}
+
+// startTimes returns the times since the start and since the first read of the
+// directory, 0 if there was none.
+func (f *fleet) startTimes(now time.Time) (started, listed time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.directoryReadAt.IsZero() {
+		listed = max(1, now.Sub(f.directoryReadAt))
+	}
+	return now.Sub(f.started), listed
+}
+
+// tablesMembers returns the live members other than this daemon, for the choice of whom
+// to ask for a confirmation of the tables.
+func (f *fleet) tablesMembers(now time.Time) []confirmation.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := make([]confirmation.Member, 0, len(f.members))
+	for _, m := range f.members {
+		if m.self || m.status.Leaving || m.lastStatusAt.IsZero() || now.Sub(m.lastStatusAt) > statusTimeout {
+			continue
+		}
+		source := m.status.TablesSource
+		members = append(members, confirmation.Member{
+			Name: m.name, Zone: m.status.Zone, Version: m.status.TablesVersion, Answers: source != wire.SourceUnknown,
+			Reads: source == wire.SourceStore, StoreLost: source == wire.SourceStoreLost,
+		})
+	}
+	return members
+}
+
+// addressOf returns the address of a member's peer port.
+func (f *fleet) addressOf(member string) (address string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[member]
+	if m == nil || m.address == "" {
+		return "", false
+	}
+	return m.address, true
 }
 
 // applyStatus applies a member's status. It ignores statuses that are older than the
--- a/internal/process/agent/log.go
+++ b/internal/process/agent/log.go
@@ -47,7 +47,7 @@
 		kind, detail, executed = string(refusal.Kind), refusal.Detail, string(refusal.Executed)
 	}
 	logging.InfoEvent("entry", "request", "request", req.fields.RequestID, "route", req.routeName(), "workspace", req.workspace,
-		"importance", int(req.importance), "version", uint64(req.tablesVersion), "version_age_ms", req.tablesAge.Milliseconds(), "status", status,
+		"importance", int(req.importance), "version", uint64(req.tablesVersion), "version_age_ms", ageMS(req.tablesAge), "status", status,
 		"refusal", kind, "executed", executed, "detail", detail, "took_ms", elapsed.Milliseconds(), "lines_dropped", dropped)
 }
 
--- a/internal/process/agent/status.go
+++ b/internal/process/agent/status.go
@@ -8,6 +8,7 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/version/catalog"
 )
 
 // sendStatuses broadcasts this daemon's status at intervals until the agent stops.
@@ -77,6 +78,7 @@
 	a.lastStatus.Leaving = a.leaving.Load()
 	a.lastStatus.Server, a.lastStatus.Service, a.lastStatus.State = view.Server, view.Service, view.State
 	a.lastStatus.TablesVersion = catalogVersion(a.tables.catalog())
+	a.lastStatus.TablesSource = wire.TablesSource(a.tables.source.Load())
 	status := a.lastStatus
 	return &status
 }
@@ -110,6 +112,7 @@
 		if a.fleet.applyStatus(time.Now(), status) && !a.leaving.Load() {
 			a.replyStatus(status.Address)
 		}
+		a.tables.reportedVersion(catalog.Version(status.TablesVersion))
 	}
 }
 
@@ -135,13 +138,17 @@
 // syncDirectory registers this daemon in the directory and reads the other members
 // from it, until the agent stops.
 func (a *Agent) syncDirectory() {
-	registered := false
+	registered, read := false, false
 	for a.ctx.Err() == nil {
 		if !registered {
 			registered = a.register()
 		}
 		wait := directoryInterval
-		if !a.readDirectory() || !registered {
+		if read && wire.TablesSource(a.tables.source.Load()) == wire.SourcePeers {
+			pause(a.ctx, wait) // the readers of the zones read the directory again
+			continue
+		}
+		if read = a.readDirectory(); !read || !registered {
 			wait = directoryRetryDelay
 		}
 		pause(a.ctx, wait)
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -51,6 +51,7 @@
 	a.leaving.Store(true)
 	a.executor.drain()
 	a.broadcast(0)
+	a.tables.answerParked() // the askers turn to the zone's next reader
 	unregistered := make(chan struct{})
 	go func() {
 		defer close(unregistered)
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -3,27 +3,27 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
+	"tarragonshore.example/tarragonshore/internal/version/confirmation"
 )
 
 const (
 	// pollWait is the time that a long poll waits for a publication. Withdrawn keys
-	// must be refused within the platform's bound, so each daemon needs to confirm
-	// every few seconds that nothing was published. A longer wait makes fewer calls,
+	// must be refused within the platform's bound, so each daemon needs a confirmation
+	// every few seconds that nothing was published, from the store or from a peer that
+	// reads it (package confirmation). A longer wait makes fewer calls,
 	// but a silent connection is noticed only after pollWait and storeTimeout, which
 	// together must stay within the 3 s that the platform allows for reconnecting.
 	pollWait = 2 * time.Second
 	// storeTimeout bounds a call to the store, in addition to the wait of a long poll.
 	storeTimeout = 700 * time.Millisecond
-	// storeRetryDelay is the delay after a failed call to the store. Each further
-	// failure in a row adds storeRetryDelay, up to maxStoreRetryDelay, since calls that
-	// the store rejects cost it as much as others.
-	storeRetryDelay    = 150 * time.Millisecond
-	maxStoreRetryDelay = 600 * time.Millisecond
 	// finalRefusalAge is the greatest age of the tables at which an unknown key or route
 	// is refused for good. With older tables the refusal may be retried, since a newer
 	// version may contain the key or route.
@@ -36,27 +36,74 @@
 	// transitMargin is the part of the bound for withdrawn keys that is reserved for a
 	// request's transit from its caller to the check.
 	transitMargin = 500 * time.Millisecond
+	// neverConfirmed is the age of tables that the store never confirmed.
+	neverConfirmed = time.Duration(math.MaxInt64)
 )
 
+// tablesPeers gives access to the other daemons, which may have newer tables or a newer
+// confirmation.
+type tablesPeers interface {
+	// tablesState returns the live members and the times since this daemon's start and
+	// since its first read of the directory.
+	tablesState() confirmation.State
+	// askTables sends a question to a member and waits for the reply until ctx ends, the
+	// link is lost or interrupt has an element.
+	askTables(ctx context.Context, member string, question wire.TablesRequest, interrupt <-chan struct{}) (*wire.TablesReply, error)
+}
+
+// tablesInForce is a version of the tables with what other daemons need of it.
+type tablesInForce struct {
+	catalog  *catalog.Catalog
+	snapshot []byte
+	next     Offset // at which to read later publications; 0: not known
+}
+
 // tablesFollower follows the operators' publications. It holds the version in force and
-// the time at which the store last confirmed that there is no newer one.
+// the time at which the store last confirmed that there is no newer one, to this daemon
+// or to a peer. It also answers the questions of peers (tables_questions.go).
 type tablesFollower struct {
 	store     Store
+	peers     tablesPeers
 	maxKeyAge time.Duration // greatest age of the tables at which keys are accepted
-	current   atomic.Pointer[catalog.Catalog]
-	// confirmed is the boot-clock time up to which the last successful read proved that
-	// nothing newer was published; 0 before the first.
+	current   atomic.Pointer[tablesInForce]
+	// confirmed is the boot-clock time up to which a read of the store is known to have
+	// proved that nothing newer was published; 0 before the first.
 	confirmed atomic.Int64
+	source    atomic.Uint32 // a wire.TablesSource
 	onChange  func(*catalog.Catalog)
-	clock     bootClock
+	// announce tells the fleet that this daemon has read a new version, or has become a
+	// reader.
+	announce func()
+	clock    bootClock
+	// newer has an element if a peer has reported a newer version.
+	newer chan struct{}
+
+	// The fields below are used by follow only.
+	chooser      *confirmation.Chooser
+	next         Offset
+	known        bool // next is known
+	disconnected bool // the last call to the store failed
+	questions    uint64
+
+	mu     sync.Mutex
+	parked map[uint64]parkedQuestion // by link number
 }
 
-func newTablesFollower(store Store, revokeBound time.Duration) *tablesFollower {
-	return &tablesFollower{store: store, maxKeyAge: revokeBound - transitMargin, onChange: func(*catalog.Catalog) {}}
+func newTablesFollower(store Store, revokeBound time.Duration, member, zone string) *tablesFollower {
+	return &tablesFollower{
+		store: store, maxKeyAge: revokeBound - transitMargin, chooser: confirmation.NewChooser(member, zone),
+		onChange: func(*catalog.Catalog) {}, announce: func() {}, newer: make(chan struct{}, 1),
+		parked: make(map[uint64]parkedQuestion),
+	}
 }
 
 // catalog returns the tables in force, nil if none are known.
-func (t *tablesFollower) catalog() *catalog.Catalog { return t.current.Load() }
+func (t *tablesFollower) catalog() *catalog.Catalog {
+	if c := t.current.Load(); c != nil {
+		return c.catalog
+	}
+	return nil
+}
 
 // version returns the version of the tables in force, 0 if none are known.
 func (t *tablesFollower) version() catalog.Version {
@@ -66,46 +113,104 @@
 	return 0
 }
 
-// age returns the time since the store last confirmed the tables, the greatest duration
-// if it never did.
+// age returns the time since the store last confirmed the tables, neverConfirmed if it
+// never did. A caller that also needs the version reads the age first: the age
+// then holds for that version or for an earlier one.
 func (t *tablesFollower) age() time.Duration {
 	confirmed := t.confirmed.Load()
 	if confirmed == 0 {
-		return time.Duration(1<<63 - 1)
+		return neverConfirmed
 	}
 	return t.clock.now() - time.Duration(confirmed)
 }
 
-// follow reads publications and puts them in force until ctx is cancelled.
+// ageMS returns an age of the tables for the log, -1 if they were never confirmed.
+func ageMS(age time.Duration) int64 {
+	if age == neverConfirmed {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// confirm records that the version in force was the newest one at a time. Times before
+// the last one are ignored: that proof still holds.
+func (t *tablesFollower) confirm(at time.Duration) {
+	t.confirmed.Store(max(t.confirmed.Load(), int64(at)))
+}
+
+// follow puts publications in force and has them confirmed until ctx is cancelled.
 func (t *tablesFollower) follow(ctx context.Context) {
-	var next Offset
-	known := false
-	disconnected, failures := false, 0
 	for ctx.Err() == nil {
-		begun := t.clock.now()
-		publication, err := t.read(ctx, known, next, disconnected)
-		if errors.Is(err, ErrHistoryLost) {
-			logging.InfoEvent("tables", "history-lost", "offset", uint64(next))
-			known = false
-			continue
-		}
-		if err != nil {
-			if !disconnected && ctx.Err() == nil {
-				disconnected = true
-				logging.WarningEvent("tables", "store-lost", "error", err, "version", uint64(t.version()))
-			}
-			failures++
-			pause(ctx, min(time.Duration(failures)*storeRetryDelay, maxStoreRetryDelay))
-			continue
+		state := t.peers.tablesState()
+		state.Version, state.Age = uint64(t.version()), t.age()
+		step := t.chooser.Next(t.clock.now(), state)
+		t.updateSource()
+		switch step.Kind {
+		case confirmation.Poll:
+			t.readStore(ctx, pollWait)
+		case confirmation.ReadStore:
+			t.readStore(ctx, 0)
+		case confirmation.Ask:
+			t.askPeer(ctx, step)
+		default:
+			pause(ctx, step.Pause)
 		}
-		if disconnected {
-			disconnected, failures = false, 0
-			logging.InfoEvent("tables", "store-regained", "version", uint64(t.version()), "age_ms", t.age().Milliseconds())
+	}
+}
+
+// updateSource publishes where the tables are confirmed, for the statuses.
+func (t *tablesFollower) updateSource() {
+	source := wire.SourcePeers
+	switch {
+	case t.chooser.Reads():
+		source = wire.SourceStore
+	case t.chooser.StoreLost():
+		source = wire.SourceStoreLost
+	}
+	former := wire.TablesSource(t.source.Swap(uint32(source)))
+	if former == source {
+		return
+	}
+	logging.InfoEvent("tables", "source", "source", int(source), "former", int(former), "version", uint64(t.version()), "age_ms", ageMS(t.age()))
+	if former == wire.SourceStore {
+		t.answerParked() // the askers have to turn to another reader
+	}
+	if source == wire.SourceStore {
+		t.announce()
+	}
+}
+
+// readStore makes one call to the store, which waits up to wait for a publication, and
+// applies its result.
+func (t *tablesFollower) readStore(ctx context.Context, wait time.Duration) {
+	begun, wasKnown := t.clock.now(), t.known
+	publication, err := t.read(ctx, wait)
+	if errors.Is(err, ErrHistoryLost) {
+		logging.InfoEvent("tables", "history-lost", "offset", uint64(t.next))
+		t.known = false
+		return
+	}
+	now := t.clock.now()
+	t.chooser.StoreRead(now, err == nil, publication.Content != nil && t.known)
+	if err != nil {
+		if !t.disconnected && ctx.Err() == nil {
+			t.disconnected = true
+			logging.WarningEvent("tables", "store-lost", "error", err, "version", uint64(t.version()))
 		}
-		emptyPoll := known && publication.Content == nil && publication.Next == next
-		next, known = publication.Next, true
-		t.apply(publication.Content)
-		t.confirmed.Store(int64(confirmationTime(begun, t.clock.now(), emptyPoll)))
+		t.answerParked()
+		return
+	}
+	if t.disconnected {
+		t.disconnected = false
+		logging.InfoEvent("tables", "store-regained", "version", uint64(t.version()), "age_ms", ageMS(t.age()))
+	}
+	emptyPoll := wasKnown && publication.Content == nil && publication.Next == t.next
+	t.next, t.known = publication.Next, true
+	changed := t.applyPublication(publication)
+	t.confirm(confirmationTime(begun, now, emptyPoll, wait))
+	t.answerParked()
+	if changed {
+		t.announce()
 	}
 }
 
@@ -113,44 +218,53 @@
 // given times proves that nothing newer was published. For an empty poll this is later
 // than its start: the store returns an empty response only after the whole wait, which
 // it measures by its own clock.
-func confirmationTime(begun, ended time.Duration, emptyPoll bool) time.Duration {
-	if !emptyPoll || ended-begun < pollWait {
+func confirmationTime(begun, ended time.Duration, emptyPoll bool, wait time.Duration) time.Duration {
+	if !emptyPoll || ended-begun < wait {
 		return begun
 	}
-	return begun + time.Duration(pollWaitShare*float64(pollWait))
+	return begun + time.Duration(pollWaitShare*float64(wait))
 }
 
-// read makes one call to the store. After a failure the call does not wait for a
-// publication, so that the end of an outage is noticed soon.
-func (t *tablesFollower) read(ctx context.Context, known bool, next Offset, disconnected bool) (Publication, error) {
-	wait := pollWait
-	if disconnected {
-		wait = 0
-	}
-	if !known {
+// read makes one call to the store.
+func (t *tablesFollower) read(ctx context.Context, wait time.Duration) (Publication, error) {
+	if !t.known {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		return t.store.Newest(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	return t.store.Next(ctx, next, wait)
+	return t.store.Next(ctx, t.next, wait)
 }
 
-// apply puts newer content in force. If the content is invalid, the former version
-// stays in force.
-func (t *tablesFollower) apply(content *catalog.Content) {
-	if content == nil || content.Version <= t.version() {
-		return
+// applyPublication puts newer content of the store in force and reports whether it did.
+func (t *tablesFollower) applyPublication(p Publication) bool {
+	if p.Content == nil || p.Content.Version <= t.version() {
+		return false
 	}
-	next, err := catalog.New(*content)
+	snapshot, err := p.Content.Snapshot()
+	if err != nil {
+		logging.ErrorEvent("tables", "snapshot-not-encoded", err, "version", uint64(p.Content.Version))
+	}
+	return t.apply(p.Content, snapshot, p.Next)
+}
+
+// apply puts newer content in force and reports whether it did. If the content is
+// invalid, the former version stays in force.
+func (t *tablesFollower) apply(content *catalog.Content, snapshot []byte, next Offset) bool {
+	if content.Version <= t.version() {
+		return false
+	}
+	newest, err := catalog.New(*content)
 	if err != nil {
 		logging.ErrorEvent("tables", "version-rejected", err, "version", uint64(content.Version), "in_force", uint64(t.version()))
-		return
+		return false
 	}
-	logging.InfoEvent("tables", "version-in-force", "version", uint64(content.Version), "former", uint64(t.version()), "routes", len(content.Routes))
-	t.current.Store(next)
-	t.onChange(next)
+	logging.InfoEvent("tables", "version-in-force", "version", uint64(content.Version), "former", uint64(t.version()), "routes", len(content.Routes),
+		"source", int(t.source.Load()))
+	t.current.Store(&tablesInForce{catalog: newest, snapshot: snapshot, next: next})
+	t.onChange(newest)
+	return true
 }
 
 // pause waits for a time or until ctx is cancelled.
--- a/internal/process/agent/tables_test.go
+++ b/internal/process/agent/tables_test.go
@@ -10,7 +10,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
+	"tarragonshore.example/tarragonshore/internal/version/confirmation"
 )
 
 // Guards against trusting tables for too long: a read proves that nothing newer was
@@ -18,12 +20,12 @@
 func TestConfirmationTimeIsBeforeTheResponse(t *testing.T) {
 	g := NewWithT(t)
 	const begun = 10 * time.Second
-	g.Expect(confirmationTime(begun, begun+pollWait/2, true)).To(Equal(begun), "the poll returned early")
-	g.Expect(confirmationTime(begun, begun+pollWait, false)).To(Equal(begun), "the poll returned records, written at an unknown time")
-	full := confirmationTime(begun, begun+pollWait, true)
+	g.Expect(confirmationTime(begun, begun+pollWait/2, true, pollWait)).To(Equal(begun), "the poll returned early")
+	g.Expect(confirmationTime(begun, begun+pollWait, false, pollWait)).To(Equal(begun), "the poll returned records, written at an unknown time")
+	full := confirmationTime(begun, begun+pollWait, true, pollWait)
 	g.Expect(full).To(BeNumerically(">", begun+pollWait/2))
 	g.Expect(full).To(BeNumerically("<", begun+pollWait))
-	frozen := confirmationTime(begun, begun+time.Minute, true)
+	frozen := confirmationTime(begun, begun+time.Minute, true, pollWait)
 	g.Expect(frozen).To(Equal(full), "time for which the process was suspended proves nothing")
 }
 
@@ -52,6 +54,23 @@
 	return s.step(ctx)
 }
 
+// virtualClock returns a boot clock that follows the time of a synctest bubble.
+func virtualClock() bootClock {
+	begun := time.Now()
+	return bootClock{boot: func() time.Duration { return time.Second + time.Since(begun) }, instant: currentInstant}
+}
+
+// noPeers is a fleet without other members.
+type noPeers struct{}
+
+func (noPeers) tablesState() confirmation.State {
+	return confirmation.State{Started: time.Minute, Listed: time.Minute}
+}
+
+func (noPeers) askTables(context.Context, string, wire.TablesRequest, <-chan struct{}) (*wire.TablesReply, error) {
+	return nil, errLinkLost
+}
+
 func version(n catalog.Version) func() (Publication, error) {
 	return func() (Publication, error) {
 		return Publication{Next: Offset(n), Content: &catalog.Content{Version: n}}, nil
@@ -73,7 +92,9 @@
 		store := &scriptedStore{script: []func() (Publication, error){
 			failing, version(4), failing, version(7), historyLost, version(4), broken, version(8), version(7),
 		}}
-		follower := newTablesFollower(store, 5*time.Second)
+		follower := newTablesFollower(store, 5*time.Second, "host-0", "zone-a")
+		follower.peers = noPeers{}
+		follower.clock = virtualClock()
 		var seen []catalog.Version
 		follower.onChange = func(c *catalog.Catalog) { seen = append(seen, c.Version()) }
 		ctx, cancel := context.WithCancel(t.Context())
@@ -91,7 +112,7 @@
 // Before the first read the tables are missing and count as stale.
 func TestTablesAreStaleBeforeTheFirstRead(t *testing.T) {
 	g := NewWithT(t)
-	follower := newTablesFollower(&scriptedStore{}, 5*time.Second)
+	follower := newTablesFollower(&scriptedStore{}, 5*time.Second, "host-0", "zone-a")
 	g.Expect(follower.age()).To(BeNumerically(">", time.Hour))
 	g.Expect(follower.catalog()).To(BeNil())
 }
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -22,61 +22,63 @@
 
 // Share is the weight of one service in a route's traffic split.
 type Share struct {
-	Service string
-	Weight  int
+	Service string `cbor:"1,keyasint"`
+	Weight  int    `cbor:"2,keyasint"`
 }
 
 // Route says which requests it matches, which services they go to and how they are handled.
 type Route struct {
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// Host is the host that requests name in their Host field, not a machine.
-	Host string
+	Host string `cbor:"2,keyasint"`
 	// PathPrefix begins and ends with a slash.
-	PathPrefix string
+	PathPrefix string `cbor:"3,keyasint"`
 	// Shares is the traffic split of the route; most routes have one service.
-	Shares     []Share
-	Idempotent bool
+	Shares     []Share `cbor:"4,keyasint"`
+	Idempotent bool    `cbor:"5,keyasint,omitempty"`
 	// Importance orders requests under overload; 0 is shed last.
-	Importance tables.Importance
+	Importance tables.Importance `cbor:"6,keyasint,omitempty"`
 	// Timeout bounds the time until the caller gets a response; with 0 only the
 	// caller's deadline does.
-	Timeout time.Duration
+	Timeout time.Duration `cbor:"7,keyasint,omitempty"`
 	// LatencyTarget is the latency objective of the route. No decision depends on it.
-	LatencyTarget time.Duration
+	LatencyTarget time.Duration `cbor:"8,keyasint,omitempty"`
 	// MaxAttempts is the maximum number of upstreams that one request is sent to.
-	MaxAttempts int
+	MaxAttempts int `cbor:"9,keyasint,omitempty"`
 	// Open routes need no key.
-	Open bool
+	Open bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Workspace is a customer with its keys and its rate limit for the whole fleet.
 type Workspace struct {
-	Name string
-	Keys []string
+	Name string `cbor:"1,keyasint"`
+	// Keys is empty in a decoded snapshot, which has KeyDigests only.
+	Keys       []string           `cbor:"-"`
+	KeyDigests []tables.KeyDigest `cbor:"2,keyasint,omitempty"`
 	// Rate is in requests per second, 0: unlimited.
-	Rate float64
+	Rate float64 `cbor:"3,keyasint,omitempty"`
 	// Burst is in requests.
-	Burst float64
+	Burst float64 `cbor:"4,keyasint,omitempty"`
 	// Importance replaces that of the route if HasImportance is set.
-	Importance    tables.Importance
-	HasImportance bool
+	Importance    tables.Importance `cbor:"5,keyasint,omitempty"`
+	HasImportance bool              `cbor:"6,keyasint,omitempty"`
 }
 
 // Limits bound the size and the timing of callers' requests.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `cbor:"1,keyasint,omitempty"`
+	BodyBytes     int64         `cbor:"2,keyasint,omitempty"`
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Content is a published version as read, before New indexes it.
 type Content struct {
-	Version    Version
-	Routes     []Route
-	Services   []string
-	Workspaces []Workspace
-	Limits     Limits
+	Version    Version     `cbor:"1,keyasint"`
+	Routes     []Route     `cbor:"2,keyasint,omitempty"`
+	Services   []string    `cbor:"3,keyasint,omitempty"`
+	Workspaces []Workspace `cbor:"4,keyasint,omitempty"`
+	Limits     Limits      `cbor:"5,keyasint"`
 }
 
 // Catalog is an indexed version.
@@ -120,10 +122,10 @@
 	for i := range content.Workspaces {
 		workspace := &content.Workspaces[i]
 		c.workspacesByName[workspace.Name] = workspace
-		for _, key := range workspace.Keys {
-			c.workspacesByKey[tables.DigestKey(key)] = workspace
+		for _, digest := range workspace.digests() {
+			c.workspacesByKey[digest] = workspace
 		}
-		workspace.Keys = nil // keep only the digests in memory
+		workspace.Keys, workspace.KeyDigests = nil, nil // keep only the index in memory
 	}
 	return c, nil
 }
