agent: less processor time for statuses, idle queues and new connections

Cause: a status of any member looked at all members and rebuilt a placement table (square of the hosts); Reconcile looked up each member's report in each bucket by name, three times; a timer looked for expired attempts every 20 ms in an empty queue; each new connection set TCP keep-alives with four system calls; a request to the backend server was copied to a map and sorted by net/http. Change: a status updates its own member, and the table only if more than the load has changed; reports are kept by index; the expiry timer runs only while attempts are queued; no TCP keep-alives; the exchange writes the request itself and checks its characters (test: TestExchangeSendsTheRequestUnchanged); frames are encoded without an interface lookup.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sys/unix"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
@@ -49,6 +48,8 @@
 	// was read. Then the connection is closed.
 	writeGrace      = 50 * time.Millisecond
 	readBufferBytes = 2 << 10
+	// typicalHeadBytes is the initial size of the buffer for the head of a request.
+	typicalHeadBytes = 512
 	// maxHeadBytes bounds the status line and the header section of one response.
 	maxHeadBytes = 64 << 10
 	// maxBufferedBytes bounds the bodies that the exchanges in progress have read,
@@ -122,7 +123,7 @@
 // NewExchanger returns an exchanger that accepts response bodies of up to maxBody
 // bytes.
 func NewExchanger(maxBody int64) *Exchanger {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1} // each exchange has a time limit
 	return &Exchanger{dial: dialer.DialContext, maxBody: maxBody}
 }
 
@@ -292,9 +293,12 @@
 // exchange writes the request and reads the response. reusable is true if another
 // request can use the connection.
 func (x *Exchanger) exchange(c *conn, e Exchange) (response *Response, reusable bool, err error) {
-	request := e.request()
+	head, err := e.head()
+	if err != nil {
+		return nil, false, err
+	}
 	written := make(chan error, 1)
-	write := func() { written <- writeRequest(c, request) }
+	write := func() { written <- e.write(c, head) }
 	if len(e.Body) >= minConcurrentWriteBytes {
 		go write()
 	} else {
@@ -302,7 +306,7 @@
 	}
 	for range maxResponseReads {
 		var skipped bool
-		response, reusable, skipped, err = x.read(c, request, e.Matches)
+		response, reusable, skipped, err = x.read(c, e.Method, e.Matches)
 		if skipped {
 			continue
 		}
@@ -330,45 +334,67 @@
 	}
 }
 
-func writeRequest(c *conn, request *http.Request) error {
-	var buffer bytes.Buffer
-	if err := request.Write(&buffer); err != nil {
-		return err
+// head returns the request line and the header section. net/http's Request.Write would
+// need the fields as a map and sort them, for each request.
+func (e *Exchange) head() ([]byte, error) {
+	head := make([]byte, 0, typicalHeadBytes)
+	line := func(parts ...string) {
+		for _, part := range parts {
+			head = append(head, part...)
+		}
+		head = append(head, "\r\n"...)
 	}
-	_, err := c.Write(buffer.Bytes())
-	return err
-}
-
-// request returns the HTTP request to send.
-func (e *Exchange) request() *http.Request {
-	header := make(http.Header, len(e.Header)+1)
+	if strings.ContainsFunc(e.Method+e.Target, isSpaceOrControl) || !httpguts.ValidHostHeader(e.Host) {
+		return nil, errInvalidRequest
+	}
+	line(e.Method, " ", e.Target, " HTTP/1.1")
+	line("Host: ", e.Host)
 	for _, field := range e.Header {
-		header.Add(field.Name, field.Value)
+		switch {
+		case !httpguts.ValidHeaderFieldName(field.Name) || !httpguts.ValidHeaderFieldValue(field.Value):
+			return nil, errInvalidRequest
+		case !framingField(field.Name):
+			line(field.Name, ": ", field.Value)
+		}
 	}
-	if _, sent := header[userAgent]; !sent {
-		header.Set(userAgent, "") // keeps net/http from adding its own
+	if len(e.Body) > 0 || e.Method == http.MethodPost || e.Method == http.MethodPut || e.Method == http.MethodPatch {
+		line("Content-Length: ", strconv.Itoa(len(e.Body)))
 	}
-	request := &http.Request{
-		Method: e.Method,
-		URL:    &url.URL{Scheme: "http", Host: e.Host, Opaque: e.Target},
-		Host:   e.Host,
-		Header: header,
+	line()
+	return head, nil
+}
+
+// errInvalidRequest means that the request cannot be sent without changing its meaning.
+var errInvalidRequest = errors.New("the request has invalid characters in its method, target or header; send valid ones")
+
+func isSpaceOrControl(r rune) bool { return r <= ' ' || r == 0x7f }
+
+// write sends the head and the body.
+func (e *Exchange) write(c *conn, head []byte) error {
+	if len(e.Body) < minConcurrentWriteBytes {
+		_, err := c.Write(append(head, e.Body...))
+		return err
 	}
-	if len(e.Body) > 0 || e.Method == http.MethodPost || e.Method == http.MethodPut || e.Method == http.MethodPatch {
-		request.Body = io.NopCloser(bytes.NewReader(e.Body))
-		request.ContentLength = int64(len(e.Body))
-		if len(e.Body) == 0 {
-			request.Body = http.NoBody
-		}
+	buffers := net.Buffers{head, e.Body}
+	_, err := buffers.WriteTo(c.Conn)
+	return err
+}
+
+// framingField reports whether a field concerns the message's framing or the connection,
+// which the exchange determines itself.
+func framingField(name string) bool {
+	switch http.CanonicalHeaderKey(name) {
+	case "Host", "Content-Length", "Transfer-Encoding", "Trailer", "Connection":
+		return true
 	}
-	return request
+	return false
 }
 
 // read reads one response. skipped is true if it is informational, or to another
 // request, so that the caller has to read the next one.
-func (x *Exchanger) read(c *conn, request *http.Request, matches func(int, http.Header) bool) (result *Response, reusable, skipped bool, err error) {
+func (x *Exchanger) read(c *conn, method string, matches func(int, http.Header) bool) (result *Response, reusable, skipped bool, err error) {
 	c.limited.start()
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.limited.stop()
 	if err != nil {
 		return nil, false, false, err
--- a/internal/connection/backend/exchange_test.go
+++ b/internal/connection/backend/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -233,3 +234,48 @@
 func headerField(name, value string) wire.HeaderField {
 	return wire.HeaderField{Name: name, Value: value}
 }
+
+// Guards against a request that is changed or split on its way to the server: fields
+// about framing are the exchange's own, and invalid characters are not sent.
+func TestExchangeSendsTheRequestUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	received := make(chan *http.Request, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		received <- r
+		w.Header().Set("Id", r.Header.Get("Id"))
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	x := NewExchanger(bodyLimit)
+	defer x.Close()
+	send := func(e Exchange) error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := x.Do(ctx, address, e)
+		return err
+	}
+	for _, size := range []int{0, 3, minConcurrentWriteBytes, 1 << 20} {
+		body := strings.Repeat("b", size)
+		g.Expect(send(Exchange{Method: http.MethodPost, Target: "/p/a%20b?q=%0A&r", Host: "app.example", Body: []byte(body), Header: []wire.HeaderField{
+			headerField("Id", "r"), headerField("Twice", "1"), headerField("Twice", "2"),
+			headerField("Content-Length", "7"), headerField("Transfer-Encoding", "chunked"), headerField("host", "other"),
+		}})).To(Succeed())
+		r := <-received
+		sent, _ := io.ReadAll(r.Body)
+		g.Expect(r.Method+" "+r.RequestURI+" "+r.Host).To(Equal("POST /p/a%20b?q=%0A&r app.example"))
+		g.Expect(r.Header["Twice"]).To(Equal([]string{"1", "2"}))
+		g.Expect(r.Header).NotTo(HaveKey("User-Agent"))
+		g.Expect(r.ContentLength).To(Equal(int64(size)))
+		g.Expect(len(sent)).To(Equal(size))
+	}
+	for _, e := range []Exchange{
+		{Method: "GET", Target: "/p HTTP/1.1\r\nX: y"}, {Method: "GET\r\n", Target: "/p"}, {Method: "GET", Target: "/p", Host: "h\r\nX: y"},
+		{Method: "GET", Target: "/p", Header: []wire.HeaderField{headerField("A", "b\r\nX: y")}},
+		{Method: "GET", Target: "/p", Header: []wire.HeaderField{headerField("A: b\r\nX", "y")}},
+	} {
+		g.Expect(send(e)).To(MatchError(errInvalidRequest))
+		g.Expect(received).NotTo(Receive())
+	}
+}
--- a/internal/connection/network/network.go
+++ b/internal/connection/network/network.go
@@ -19,12 +19,18 @@
 	Dial(ctx context.Context, address string) (net.Conn, error)
 }
 
-// System is the operating system's network.
+// System is the operating system's network. Its connections send no TCP keep-alives, of
+// which each new connection would cost several system calls: links are pinged, and the
+// others have time limits.
 type System struct{}
 
+// noKeepAlive is a keep-alive interval that disables keep-alives.
+const noKeepAlive = -1
+
 // Listen implements Network.
 func (System) Listen(address netip.AddrPort) (net.Listener, error) {
-	return net.Listen("tcp", address.String())
+	config := net.ListenConfig{KeepAlive: noKeepAlive}
+	return config.Listen(context.Background(), "tcp", address.String())
 }
 
 // ListenPacket implements Network.
@@ -34,6 +40,6 @@
 
 // Dial implements Network.
 func (System) Dial(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{KeepAlive: noKeepAlive}
 	return dialer.DialContext(ctx, "tcp", address)
 }
--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,13 +26,6 @@
 // Unwrap returns the cause.
 func (e *FrameError) Unwrap() error { return e.Err }
 
-// envelope is the outer array of a frame.
-type envelope struct {
-	_    struct{} `cbor:",toarray"`
-	Type Type
-	Body Message
-}
-
 // arrayHeadOf2 is the first byte of a frame: the CBOR head of an array of 2 items.
 const arrayHeadOf2 = 0x82
 
@@ -42,7 +36,21 @@
 	maxMapPairs      = 1024
 )
 
-var decMode = mustDecMode()
+// typicalFrameBytes is the initial size of the buffer for a frame.
+const typicalFrameBytes = 512
+
+var (
+	decMode = mustDecMode()
+	encMode = mustEncMode()
+)
+
+func mustEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // unreachable: the options are constant
+	}
+	return mode
+}
 
 func mustDecMode() cbor.DecMode {
 	mode, err := cbor.DecOptions{
@@ -62,10 +70,18 @@
 
 // Encode returns the frame of a message.
 func Encode(m Message) ([]byte, error) {
-	frame, err := cbor.Marshal(envelope{Type: m.Type(), Body: m})
-	if err != nil {
+	var buffer bytes.Buffer
+	buffer.Grow(typicalFrameBytes)
+	buffer.WriteByte(arrayHeadOf2)
+	// The items of the array are encoded one by one: an array that holds the message in
+	// an interface costs a lookup of its type and a copy for each frame.
+	if err := encMode.MarshalToBuffer(m.Type(), &buffer); err != nil {
+		return nil, &FrameError{Reason: "the message type cannot be encoded", Err: err}
+	}
+	if err := encMode.MarshalToBuffer(m, &buffer); err != nil {
 		return nil, &FrameError{Reason: "the message cannot be encoded", Err: err}
 	}
+	frame := buffer.Bytes()
 	if len(frame) > MaxFrameBytes {
 		return nil, &FrameError{Reason: fmt.Sprintf("%d bytes are over the limit of %d", len(frame), MaxFrameBytes)}
 	}
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -56,7 +56,7 @@
 }
 
 // executor runs attempts at the local backend server. mu guards the fields below it
-// except wg.
+// except queued and wg.
 type executor struct {
 	protocol Protocol
 	server   *serverState
@@ -75,7 +75,9 @@
 	callEstimator                      *shedding.CallEstimator
 	loadNumber                         uint64
 	draining                           bool
-	wg                                 sync.WaitGroup
+	// queued has an element if expireQueued has to be woken.
+	queued chan struct{}
+	wg     sync.WaitGroup
 }
 
 func newExecutor(protocol Protocol, s *serverState, x *backend.Exchanger, m *metrics.Metrics, log *requestLog) *executor {
@@ -83,6 +85,7 @@
 		protocol: protocol, server: s, backend: x, metrics: m, log: log,
 		queue: runqueue.New(), runs: make(map[wire.AttemptID]*run),
 		startedByRequest: make(map[string]*run), callEstimator: shedding.NewCallEstimator(),
+		queued: make(chan struct{}, 1),
 	}
 }
 
@@ -137,6 +140,12 @@
 		delete(e.runs, refusal.ID)
 		out = append(out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, queueRefusal(refusal.Reason))})
 	}
+	if e.queue.Waiting() > 0 {
+		select {
+		case e.queued <- struct{}{}:
+		default: // expireQueued is awake or will be
+		}
+	}
 	e.mu.Unlock()
 	for _, o := range out {
 		o.receiver.deliver(o.answer)
@@ -403,14 +412,24 @@
 }
 
 // expireQueued lets the queue refuse attempts whose deadlines can no longer be met,
-// until ctx is cancelled.
+// until ctx is cancelled. It sleeps while no attempt is queued.
 func (e *executor) expireQueued(ctx context.Context) {
-	runEvery(ctx, expiryInterval, func() {
-		e.mu.Lock()
-		waiting := e.queue.Waiting()
-		e.mu.Unlock()
-		if waiting > 0 {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.queued:
+		}
+		for e.waiting() > 0 && ctx.Err() == nil {
+			pause(ctx, expiryInterval)
 			e.updateQueue(func(*[]outgoingAnswer) runqueue.Actions { return e.queue.Advance(time.Now()) })
 		}
-	})
+	}
+}
+
+// waiting returns the number of queued attempts.
+func (e *executor) waiting() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queue.Waiting()
 }
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -182,33 +182,42 @@
 		return false
 	}
 	replyNeeded = silent || s.Incarnation != m.status.Incarnation
-	former := m.status.Service
+	former := m.status
 	m.status, m.address, m.lastStatusAt, m.unreachableUntil = *s, s.Address, now, time.Time{}
 	if !m.self {
 		m.usage = rateshare.UsageByWorkspace(s.Usage)
 	}
-	f.refreshUsable(now)
-	if former != "" && former != s.Service {
-		f.rebuildPlacement(now, former)
-	}
-	if s.Service != "" {
+	f.refreshMember(now, m)
+	switch {
+	case former.Service != s.Service || former.Server != s.Server || former.State != s.State || former.Zone != s.Zone:
+		f.rebuildPlacement(now, former.Service)
 		f.rebuildPlacement(now, s.Service)
+	case m.usable && s.Service != "":
+		// The usual status changes only the load. Rebuilding the table for each status
+		// would cost the square of the hosts.
+		f.placements[s.Service].Report(s.Server, s.Load.Number, loadOf(&s.Load))
 	}
 	return replyNeeded
 }
 
+// refreshMember updates whether a member is usable and, if that has changed, the
+// placement table of its service. The caller holds mu.
+func (f *fleet) refreshMember(now time.Time, m *member) {
+	usable := m.acceptsAttempts(now)
+	if usable == m.usable {
+		return
+	}
+	m.usable = usable
+	logging.InfoEvent("fleet", "member", "member", m.name, "server", m.status.Server, "service", m.status.Service,
+		"usable", usable, "phase", int(m.status.State), "leaving", m.status.Leaving, "silent_ms", now.Sub(m.lastStatusAt).Milliseconds())
+	f.rebuildPlacement(now, m.status.Service)
+}
+
 // refreshUsable updates which members are usable and rebuilds the placement tables of
 // the services for which that has changed. The caller holds mu.
 func (f *fleet) refreshUsable(now time.Time) {
 	for _, m := range f.members {
-		if usable := m.acceptsAttempts(now); usable != m.usable {
-			m.usable = usable
-			logging.InfoEvent("fleet", "member", "member", m.name, "server", m.status.Server, "service", m.status.Service,
-				"usable", usable, "phase", int(m.status.State), "leaving", m.status.Leaving, "silent_ms", now.Sub(m.lastStatusAt).Milliseconds())
-			if m.status.Service != "" {
-				f.rebuildPlacement(now, m.status.Service)
-			}
-		}
+		f.refreshMember(now, m)
 	}
 }
 
@@ -218,8 +227,12 @@
 		!m.status.Leaving && m.status.State.Usable()
 }
 
-// rebuildPlacement updates the placement table of a service. The caller holds mu.
+// rebuildPlacement updates the placement table of a service, "" for none. The caller
+// holds mu.
 func (f *fleet) rebuildPlacement(now time.Time, service string) {
+	if service == "" {
+		return
+	}
 	var upstreams []placement.Upstream
 	for _, m := range f.members {
 		if m.status.Service != service || !m.acceptsAttempts(now) {
--- a/internal/process/agent/status_bench_test.go
+++ b/internal/process/agent/status_bench_test.go
@@ -61,12 +61,13 @@
 
 // BenchmarkReplan measures one computation of the shedding plan and the rate shares.
 func BenchmarkReplan(b *testing.B) {
-	for _, hosts := range []int{15, 72, 1100} {
-		b.Run(fmt.Sprint("hosts-", hosts), func(b *testing.B) {
+	for _, size := range []struct{ hosts, workspaces int }{{15, 8}, {72, 8}, {72, 78}, {1100, 8}} {
+		hosts := size.hosts
+		b.Run(fmt.Sprintf("hosts-%d-workspaces-%d", hosts, size.workspaces), func(b *testing.B) {
 			f := newFleet("host-0", "zone-a", 1, rateshare.Tolerance{})
 			now := time.Now()
 			for n := range hosts {
-				s := statusOf(n, 8)
+				s := statusOf(n, size.workspaces)
 				s.Number = 1
 				f.applyStatus(now, s)
 			}
--- a/internal/process/rateshare/rateshare.go
+++ b/internal/process/rateshare/rateshare.go
@@ -146,6 +146,7 @@
 // memberReport is the last report of one member about one workspace that was applied to
 // the bucket.
 type memberReport struct {
+	seen        bool // false: the member has not reported on the workspace
 	incarnation uint64
 	number      uint64
 	admitted    uint64
@@ -167,10 +168,10 @@
 	returned            int     // tokens given back by Return that Take has not used again
 	// lastRequestAt is when a request of each importance last arrived here.
 	lastRequestAt [importanceLevels]time.Time
-	demand        float64 // smoothed demand at this daemon, in requests per second
-	othersDemand  float64 // demand at all other daemons
-	daemons       float64 // daemons that may be admitting requests, this one included
-	reports       map[string]memberReport
+	demand        float64        // smoothed demand at this daemon, in requests per second
+	othersDemand  float64        // demand at all other daemons
+	daemons       float64        // daemons that may be admitting requests, this one included
+	reports       []memberReport // by index of the member, see Limiter.indexes
 }
 
 // Limiter holds this daemon's copies of the buckets of all workspaces, and decides with
@@ -179,12 +180,13 @@
 	ownIncarnation uint64
 	tolerance      Tolerance
 	buckets        map[string]*bucket
+	indexes        map[string]int // of each member that has ever reported, by name
 }
 
 // New returns a limiter without any bucket. The incarnation of a daemon is its start
 // time in nanoseconds.
 func New(incarnation uint64, tolerance Tolerance) *Limiter {
-	return &Limiter{ownIncarnation: incarnation, tolerance: tolerance, buckets: make(map[string]*bucket)}
+	return &Limiter{ownIncarnation: incarnation, tolerance: tolerance, buckets: make(map[string]*bucket), indexes: make(map[string]int)}
 }
 
 // bucket returns the bucket of a workspace and creates it if there is none.
@@ -192,7 +194,7 @@
 	b := l.buckets[workspace]
 	if b == nil {
 		n := float64(max(1, daemons))
-		b = &bucket{limit: limit, updatedAt: now, share: 1 / n, daemons: n, reports: map[string]memberReport{}}
+		b = &bucket{limit: limit, updatedAt: now, share: 1 / n, daemons: n}
 		// One token for each daemon's first request, up to maxInitialShare of the burst.
 		b.level = max(initialShare*limit.Burst, min(n, maxInitialShare*limit.Burst))
 		l.buckets[workspace] = b
--- a/internal/process/rateshare/rateshare_test.go
+++ b/internal/process/rateshare/rateshare_test.go
@@ -288,9 +288,10 @@
 	limit := Limit{Rate: 10, Burst: 10}
 	limiter.Take(now, rand.New(rand.NewPCG(1, 1)), "w", limit, 0, 2)
 	b := limiter.buckets["w"]
-	b.applyReport(&Member{Name: "m", Incarnation: 1, ReportNumber: 1, Usage: usageOf(100)}, "w", limiter.ownIncarnation)
+	var last memberReport
+	b.applyReport(&Member{Name: "m", Incarnation: 1, ReportNumber: 1, Usage: usageOf(100)}, &last, "w", limiter.ownIncarnation)
 	level := b.level
-	b.applyReport(&Member{Name: "m", Incarnation: 2, Usage: usageOf(3)}, "w", limiter.ownIncarnation)
+	b.applyReport(&Member{Name: "m", Incarnation: 2, Usage: usageOf(3)}, &last, "w", limiter.ownIncarnation)
 	g.Expect(b.level).To(BeNumerically("~", level-3, 1e-9))
 }
 
--- a/internal/process/rateshare/reconcile.go
+++ b/internal/process/rateshare/reconcile.go
@@ -13,19 +13,28 @@
 		}
 	}
 	demands := make([]float64, len(members))
+	lasts := make([]*memberReport, len(members))
+	indexes := make([]int, len(members))
+	for i, m := range members {
+		indexes[i] = l.indexOf(m.Name)
+	}
 	for workspace, b := range l.buckets {
 		b.limit = limit(workspace)
+		if missing := len(l.indexes) - len(b.reports); missing > 0 {
+			b.reports = append(b.reports, make([]memberReport, missing)...)
+		}
 		elapsed := now.Sub(b.updatedAt).Seconds()
 		taken := b.taken
 		b.level += b.limit.Rate*elapsed - taken
 		b.updatedAt, b.taken = now, 0
 		sum := b.demand
 		for i := range members {
-			demand, known := b.applyReport(&members[i], workspace, l.ownIncarnation)
+			last := &b.reports[indexes[i]]
+			demand, known := b.applyReport(&members[i], last, workspace, l.ownIncarnation)
 			if !known {
 				demand = b.demand // assume this daemon's demand for a member without a report
 			}
-			demands[i] = demand
+			demands[i], lasts[i] = demand, last
 			sum += demand
 		}
 		n := float64(len(members) + 1)
@@ -39,7 +48,7 @@
 			if members[i].ReportAge > lateReportAge {
 				estimate = max(estimate, takenPerShare*share)
 			}
-			b.chargeEstimate(&members[i], min(estimate, share*available))
+			b.chargeEstimate(lasts[i], min(estimate, share*available))
 		}
 		// Late reports can drive the level below zero; the debt is capped at one burst.
 		b.level = min(max(b.level, -b.limit.Burst), b.limit.Burst)
@@ -48,43 +57,49 @@
 	}
 }
 
+// indexOf returns the index of a member in the reports of each bucket.
+func (l *Limiter) indexOf(member string) int {
+	index, ok := l.indexes[member]
+	if !ok {
+		index = len(l.indexes)
+		l.indexes[member] = index
+	}
+	return index
+}
+
 // chargeEstimate charges the tokens that a member is estimated to have taken since
 // the last Reconcile. The next report of the member replaces the estimate.
-func (b *bucket) chargeEstimate(m *Member, estimate float64) {
-	last, seenBefore := b.reports[m.Name]
-	if !seenBefore {
+func (b *bucket) chargeEstimate(last *memberReport, estimate float64) {
+	if !last.seen {
 		return // without an earlier report, applyReport could not correct the estimate
 	}
 	last.estimated += estimate
 	b.level -= estimate
-	b.reports[m.Name] = last
 }
 
 // applyReport replaces the estimated usage of a member by what it reported having
 // admitted since its last report, and returns its demand. known is false if the
 // member has not reported yet.
-func (b *bucket) applyReport(m *Member, workspace string, ownIncarnation uint64) (demand float64, known bool) {
+func (b *bucket) applyReport(m *Member, last *memberReport, workspace string, ownIncarnation uint64) (demand float64, known bool) {
 	usage, known := m.Usage[workspace]
-	last, seenBefore := b.reports[m.Name]
-	if !known {
+	switch {
+	case !known:
 		if last.estimated > 0 && last.number != m.ReportNumber {
 			// A newer report without the workspace: the member admitted no requests.
 			b.level += last.estimated
 			last.number, last.estimated = m.ReportNumber, 0
-			b.reports[m.Name] = last
 		}
 		return 0, m.Usage != nil
-	}
-	if seenBefore && last.incarnation == m.Incarnation && last.number == m.ReportNumber {
+	case last.seen && last.incarnation == m.Incarnation && last.number == m.ReportNumber:
 		return usage.Demand, true
 	}
 	b.level += last.estimated
 	switch {
-	case seenBefore && last.incarnation == m.Incarnation && usage.Admitted >= last.admitted:
+	case last.seen && last.incarnation == m.Incarnation && usage.Admitted >= last.admitted:
 		b.level -= float64(usage.Admitted - last.admitted)
-	case seenBefore || m.Incarnation+uint64(sameStartWindow) > ownIncarnation:
+	case last.seen || m.Incarnation+uint64(sameStartWindow) > ownIncarnation:
 		b.level -= float64(usage.Admitted) // the count of a new incarnation starts at zero
 	}
-	b.reports[m.Name] = memberReport{incarnation: m.Incarnation, number: m.ReportNumber, admitted: usage.Admitted}
+	*last = memberReport{seen: true, incarnation: m.Incarnation, number: m.ReportNumber, admitted: usage.Admitted}
 	return usage.Demand, true
 }
