peer: links that are rarely used are pinged rarely, by one loop for all links

Cause: every host opens links to all others, and the dialing side of each pinged it every 0.5 s. One loop checks all links, instead of a goroutine and two timers for each. A process that was paused no longer closes links whose answers it has not read yet. Ruled out: no links ahead (the first requests would wait for handshakes), no pings at all on idle links (a silent connection would be found only by the attempt that is lost).

--- a/internal/connection/backend/exchange_test.go
+++ b/internal/connection/backend/exchange_test.go
@@ -264,7 +264,7 @@
 		}})).To(Succeed())
 		r := <-received
 		sent, _ := io.ReadAll(r.Body)
-		g.Expect(r.Method+" "+r.RequestURI+" "+r.Host).To(Equal("POST /p/a%20b?q=%0A&r app.example"))
+		g.Expect(r.Method + " " + r.RequestURI + " " + r.Host).To(Equal("POST /p/a%20b?q=%0A&r app.example"))
 		g.Expect(r.Header["Twice"]).To(Equal([]string{"1", "2"}))
 		g.Expect(r.Header).NotTo(HaveKey("User-Agent"))
 		g.Expect(r.ContentLength).To(Equal(int64(size)))
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -31,6 +31,8 @@
 	dialed       bool
 	opened       time.Time
 	lastReceived atomic.Int64 // time of the last received message, in ns since opened
+	lastUsed     atomic.Int64 // time of the last message other than pings, either way, in ns since opened
+	pingSent     atomic.Int64 // time of the last ping, in ns since opened; 0: none
 	usable       atomic.Bool  // may be the current link: dialed, or a message has arrived
 
 	closeOnce sync.Once
@@ -57,6 +59,12 @@
 		l.Close("the send queue is full, since the peer does not read")
 		return ErrClosed
 	}
+	if isKeepAlive(m) {
+		return nil
+	}
+	if wasIdle := l.markUsed(); wasIdle {
+		l.ping(l.age()) // the connection may have gone silent while it was idle
+	}
 	return nil
 }
 
@@ -168,8 +176,6 @@
 // readLoop passes received messages to the handler until the link is closed or a read
 // fails, and returns the reason. It responds to pings itself.
 func (l *link) readLoop() string {
-	silenceTimer := time.AfterFunc(l.hub.cfg.SilenceTimeout, func() { l.Close("no message for " + l.hub.cfg.SilenceTimeout.String()) })
-	defer silenceTimer.Stop()
 	for {
 		// Close interrupts the read. A context with a deadline for each read would cost
 		// a timer per message.
@@ -180,8 +186,7 @@
 			}
 			return err.Error()
 		}
-		silenceTimer.Reset(l.hub.cfg.SilenceTimeout)
-		l.lastReceived.Store(int64(time.Since(l.opened)))
+		l.lastReceived.Store(int64(l.age()))
 		if l.usable.CompareAndSwap(false, true) {
 			l.hub.promote(l)
 		}
@@ -192,36 +197,8 @@
 			}
 		case *wire.Pong, *wire.Hello:
 		default:
+			l.markUsed()
 			l.hub.handler.Receive(l, m)
 		}
 	}
 }
-
-// pingLoop sends a ping when nothing has been received for PingInterval, until the
-// link is closed. The side that accepted the link waits a quarter longer, so that on
-// an idle link only the side that dialed sends pings.
-func (l *link) pingLoop() {
-	interval := l.hub.cfg.PingInterval
-	if !l.dialed {
-		interval += interval / 4
-	}
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
-	for number := uint64(1); ; {
-		select {
-		case <-l.done:
-			return
-		case <-timer.C:
-		}
-		idle := time.Since(l.opened) - time.Duration(l.lastReceived.Load())
-		if idle < interval {
-			timer.Reset(interval - idle)
-			continue
-		}
-		if l.Send(wire.Ping{Number: number}) != nil {
-			return
-		}
-		number++
-		timer.Reset(interval)
-	}
-}
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -64,7 +64,12 @@
 	// sent. A shorter interval costs more messages and allows a shorter
 	// SilenceTimeout.
 	PingInterval time.Duration
-	// SilenceTimeout is the time without a received message after which a link is closed.
+	// IdlePingInterval replaces PingInterval on links that have carried nothing but pings
+	// for some seconds; 0 means PingInterval. Most links of a large fleet are rarely used.
+	// The first message on such a link is followed by a ping.
+	IdlePingInterval time.Duration
+	// SilenceTimeout is the time without a received message after which the next check
+	// closes a link whose ping was not answered. Checks are a quarter of PingInterval apart.
 	// It has to be several times PingInterval, since a busy peer responds late.
 	SilenceTimeout time.Duration
 	// DialTimeout bounds the time to connect and to exchange Hello messages.
@@ -224,13 +229,7 @@
 
 // Broadcast sends a message on all open links and ignores errors.
 func (h *Hub) Broadcast(m wire.Message) {
-	h.mu.Lock()
-	links := make([]*link, 0, len(h.openLinks))
-	for l := range h.openLinks {
-		links = append(links, l)
-	}
-	h.mu.Unlock()
-	for _, l := range links {
+	for _, l := range h.links() {
 		_ = l.Send(m)
 	}
 }
@@ -239,13 +238,9 @@
 func (h *Hub) Close() {
 	h.mu.Lock()
 	h.closed = true
-	links := make([]*link, 0, len(h.openLinks))
-	for l := range h.openLinks {
-		links = append(links, l)
-	}
 	h.mu.Unlock()
 	h.cancel()
-	for _, l := range links {
+	for _, l := range h.links() {
 		l.Close("this daemon closed all its links")
 	}
 	h.wg.Wait()
@@ -347,7 +342,9 @@
 	if h.closed {
 		return nil, ErrClosed
 	}
-	h.opened++
+	if h.opened++; h.opened == 1 {
+		h.wg.Go(h.keepLinksAlive)
+	}
 	l.number = h.opened
 	h.openLinks[l] = struct{}{}
 	if l.dialed {
@@ -370,10 +367,9 @@
 func (h *Hub) run(l *link) {
 	h.handler.LinkUp(l)
 	var loops sync.WaitGroup
-	loops.Go(l.pingLoop)
 	loops.Go(l.writeLoop)
 	if l.dialed {
-		_ = l.Send(wire.Ping{}) // fails if the link has closed, which readLoop reports
+		l.ping(l.age())
 	}
 	reason := l.readLoop()
 	l.Close(reason)
