dispatcher: an answer without response and refusal is a failure of unknown outcome

Cause: such an answer of a peer crashed the daemon in logAttempt (nil response). Test: TestEmptyAnswerIsAFailure, panicked before, passes now.

--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -315,6 +315,9 @@
 		return // the attempt was abandoned
 	}
 	result := attemptResult{response: answer.Response, answer: answer}
+	if answer.Response == nil && answer.Refusal == nil {
+		result.refusal = problem.Unknown(problem.KindUpstreamFailed, "the answer has neither a response nor a refusal; run the same release on both hosts")
+	}
 	if r := answer.Refusal; r != nil {
 		result.refusal = &problem.Problem{Kind: problem.Kind(r.Kind), Executed: problem.Executed(r.Executed), Detail: r.Detail,
 			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond}
--- a/internal/process/agent/dispatcher_test.go
+++ b/internal/process/agent/dispatcher_test.go
@@ -60,3 +60,20 @@
 		g.Expect(d.takeRetry(&call{service: "ledger"})).To(BeFalse(), "calls made by backend servers have a separate budget")
 	}
 }
+
+// Guards against a daemon that crashes, or reports "not executed", because a peer's answer
+// has neither a response nor a refusal.
+func TestEmptyAnswerIsAFailure(t *testing.T) {
+	g := NewWithT(t)
+	d := newDispatcher(newFleet("m", "z", 1, rateshare.Tolerance{}), nil, 0, nil, newRequestLog())
+	p := &pendingAttempt{done: make(chan attemptResult, 1)}
+	id := d.newAttemptID()
+	d.addPending(id, p)
+	d.deliver(&wire.Answer{ID: id})
+	result := <-p.done
+	d.log.logAttempt(&call{}, "s", memberAddress{}, &result, "")
+	var o callOutcome
+	o.add(&result)
+	_, refusal := o.finalAnswer("")
+	g.Expect(refusal.Executed).To(Equal(problem.ExecutedUnknown))
+}
