--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -135,7 +135,7 @@
 	log := newRequestLog()
 	a := &Agent{cfg: cfg, deps: deps, incarnation: uint64(time.Now().UnixNano())}
 	a.tables = newTablesFollower(deps.Store, cfg.RevokeBound, cfg.Member, cfg.Zone)
-	a.tables.peers = a
+	a.tables.peers, a.tables.metrics = a, deps.Metrics
 	a.server = newServerState(cfg.HeartbeatInterval, cfg.ServerAddress)
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation, cfg.Tolerance)
 	a.executor = newExecutor(deps.Protocol, a.server, backend.NewExchanger(maxBodyBytes), deps.Metrics, log)
@@ -200,6 +200,8 @@
 	}{
 		{"tarragon_tables_version", "Version of the tables in force, 0 if none is known.", func() float64 { return float64(a.tables.version()) }},
 		{"tarragon_tables_age_seconds", "Time since the store last confirmed the tables.", func() float64 { return a.tables.age().Seconds() }},
+		{"tarragon_tables_source", "Where the tables are confirmed: 1 peers, 2 the store, for the zone, 3 the store is lost; 0 before the first decision.", func() float64 { return float64(a.tables.source.Load()) }},
+		{"tarragon_tables_parked_questions", "Questions of peers that wait for this daemon's next confirmation.", func() float64 { return float64(a.tables.parkedQuestions()) }},
 		{"tarragon_members_usable", "Members whose backend servers accept attempts.", a.fleet.usableMembers},
 		{"tarragon_runs", "Attempts running or queued at this host.", func() float64 { return float64(a.executor.inProgress()) }},
 		{"tarragon_in_flight", "Requests from callers and from the backend server that this daemon is handling.", func() float64 { return float64(a.entry.inFlight.Load()) }},
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -380,6 +380,19 @@
 	return len(e.runs)
 }
 
+// oldestRun returns the caller's id and the age of the attempt that is running or queued
+// for the longest time, "" if there is none.
+func (e *executor) oldestRun(now time.Time) (requestID string, age time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		if since := now.Sub(r.arrived); requestID == "" || since > age {
+			requestID, age = r.attempt.RequestID, since
+		}
+	}
+	return requestID, age
+}
+
 // countCall counts a call made by the local backend server. If the call's id names the
 // run in progress that made it, countCall returns the importance of that run.
 func (e *executor) countCall(requestID, route string) (importance uint8, known bool) {
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -88,7 +88,8 @@
 	}
 }
 
-// drain waits until nothing has been in flight for idleTime.
+// drain waits until nothing has been in flight for idleTime. If ctx ends before, it logs
+// what is still in flight.
 func (a *Agent) drain(ctx context.Context) {
 	idleSince := time.Now()
 	for ctx.Err() == nil {
@@ -100,6 +101,9 @@
 		}
 		pause(ctx, pollPause)
 	}
+	requestID, oldest := a.executor.oldestRun(time.Now())
+	logging.WarningEvent("agent", "stop-not-drained", "in_flight", a.entry.inFlight.Load(), "runs", a.executor.inProgress(),
+		"oldest_run", requestID, "oldest_ms", oldest.Milliseconds())
 }
 
 // unregister removes this daemon from the directory.
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -10,6 +10,7 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 	"tarragonshore.example/tarragonshore/internal/version/confirmation"
 )
@@ -64,6 +65,7 @@
 type tablesFollower struct {
 	store     Store
 	peers     tablesPeers
+	metrics   *metrics.Metrics
 	maxKeyAge time.Duration // greatest age of the tables at which keys are accepted
 	current   atomic.Pointer[tablesInForce]
 	// confirmed is the boot-clock time up to which a read of the store is known to have
@@ -192,6 +194,7 @@
 	}
 	now := t.clock.now()
 	t.chooser.StoreRead(now, err == nil, publication.Content != nil && t.known)
+	t.metrics.RecordConfirmation("store", err == nil)
 	if err != nil {
 		if !t.disconnected && ctx.Err() == nil {
 			t.disconnected = true
--- a/internal/process/agent/tables_questions.go
+++ b/internal/process/agent/tables_questions.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// parkedQuestions returns the number of parked questions.
+func (t *tablesFollower) parkedQuestions() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.parked)
+}
+
 // dropParked forgets the question that arrived on a link that has closed.
 func (t *tablesFollower) dropParked(link uint64) {
 	t.mu.Lock()
@@ -110,6 +117,7 @@
 		return
 	}
 	if err != nil {
+		t.metrics.RecordConfirmation("peer", false)
 		logging.WarningEvent("tables", "peer-unanswered", "member", step.Member, "parked", step.Park, "error", err, "age_ms", ageMS(t.age()))
 		t.chooser.Unanswered(now, step.Member)
 		return
@@ -131,6 +139,7 @@
 		}
 	}
 	proven, ok := confirmation.ProvenTime(asked, now, uint64(t.version()), confirmation.Answer{Version: reply.Version, Age: reply.Age, Held: reply.Held})
+	t.metrics.RecordConfirmation("peer", ok)
 	if !ok {
 		t.chooser.Unanswered(now, member)
 		return
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -23,14 +23,15 @@
 	provider *sdkmetric.MeterProvider
 	meter    metric.Meter
 
-	requests    metric.Int64Counter
-	requestTime metric.Float64Histogram
-	attempts    metric.Int64Counter
-	queueDelay  metric.Float64Histogram
-	linkEvents  metric.Int64Counter
-	refusals    metric.Int64Counter
-	backendTime metric.Float64Histogram
-	daemonTime  metric.Float64Histogram
+	requests      metric.Int64Counter
+	requestTime   metric.Float64Histogram
+	attempts      metric.Int64Counter
+	queueDelay    metric.Float64Histogram
+	linkEvents    metric.Int64Counter
+	confirmations metric.Int64Counter
+	refusals      metric.Int64Counter
+	backendTime   metric.Float64Histogram
+	daemonTime    metric.Float64Histogram
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -118,6 +119,10 @@
 		metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
 		return err
 	}
+	if m.confirmations, err = m.meter.Int64Counter("tarragon_tables_confirmations",
+		metric.WithDescription("Attempts of this daemon to have its tables confirmed, by source, store or peer, and by result: confirmed or failed.")); err != nil {
+		return err
+	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links that came up or went down, by event."))
 	return err
@@ -188,6 +193,19 @@
 	m.daemonTime.Record(context.Background(), took.Seconds(), m.withLabels("pool", pool))
 }
 
+// RecordConfirmation records a call to the store, or a question to a peer, that was to
+// confirm the tables.
+func (m *Metrics) RecordConfirmation(source string, confirmed bool) {
+	if m == nil {
+		return
+	}
+	result := "confirmed"
+	if !confirmed {
+		result = "failed"
+	}
+	m.confirmations.Add(context.Background(), 1, m.withLabels("source", source, "result", result))
+}
+
 // RecordLinkEvent records that a peer link came up or went down.
 func (m *Metrics) RecordLinkEvent(event string) {
 	if m == nil {
