--- a/cmd/tarragon-agent/main.go
+++ b/cmd/tarragon-agent/main.go
@@ -34,7 +34,7 @@
 
 // gcPercent is the garbage collector's target percentage (GOGC). A lower value
 // saves memory and costs CPU time.
-const gcPercent = 50
+const gcPercent = 100
 
 // shutdownMargin is the part of the platform's grace period that a stop does not use.
 // The process exits this long before the platform would kill it, even if connections
