peer: hubs without IdlePingInterval keep a timer for each link

Change: tarragond's links have their own timers as before; the loop serves hubs with IdlePingInterval, that is tarragon-agent. A closed link is no longer handed out.

--- a/internal/connection/peer/keepalive.go
+++ b/internal/connection/peer/keepalive.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// checksPerPing is the number of checks of all links within a PingInterval.
-	checksPerPing = 4
 	// activeTime is how long after its last message, other than pings, a link counts as
 	// in use. Links that are not in use are pinged at IdlePingInterval.
 	activeTime = 5 * time.Second
@@ -39,18 +37,36 @@
 	_ = l.Send(wire.Ping{Number: uint64(now)}) // fails if the link has closed, which readLoop reports
 }
 
-// pingInterval returns the time without a received message after which the link is
-// pinged. The side that accepted the link waits a quarter longer, so that on an idle link
-// only the side that dialed sends pings.
+// activePingInterval returns the time without a received message after which a link in
+// use is pinged. The side that accepted the link waits a quarter longer, so that on an
+// idle link only the side that dialed sends pings.
+func (l *link) activePingInterval() time.Duration {
+	if !l.dialed {
+		return l.hub.cfg.PingInterval * 5 / 4
+	}
+	return l.hub.cfg.PingInterval
+}
+
+// pingInterval is activePingInterval for the link as it is used now.
 func (l *link) pingInterval(now time.Duration) time.Duration {
-	interval := l.hub.cfg.PingInterval
-	if idle := l.hub.cfg.IdlePingInterval; idle > 0 && now-time.Duration(l.lastUsed.Load()) > activeTime {
-		interval = idle
+	idle := l.hub.cfg.IdlePingInterval
+	switch {
+	case now-time.Duration(l.lastUsed.Load()) <= activeTime:
+		return l.activePingInterval()
+	case !l.dialed:
+		return idle * 5 / 4
 	}
-	if !l.dialed {
-		interval += interval / 4
+	return idle
+}
+
+// due returns when the link has to be checked, since it was opened: when a ping is to be
+// sent, or when the answer to a ping is too late.
+func (l *link) due(now time.Duration) time.Duration {
+	received, pinged := time.Duration(l.lastReceived.Load()), time.Duration(l.pingSent.Load())
+	if pinged > received {
+		return max(received+l.hub.cfg.SilenceTimeout, pinged+l.hub.cfg.SilenceTimeout-l.activePingInterval())
 	}
-	return interval
+	return received + l.pingInterval(now)
 }
 
 // verdict is what a check of a link results in.
@@ -67,18 +83,16 @@
 // verdict decides what to do with a link at a time since it was opened. resumed is true
 // if this process was delayed.
 func (l *link) verdict(now time.Duration, resumed bool) verdict {
-	received, pinged := time.Duration(l.lastReceived.Load()), time.Duration(l.pingSent.Load())
-	silence := now - received
-	outstanding := pinged > received
+	outstanding := l.pingSent.Load() > l.lastReceived.Load()
 	switch {
-	case outstanding && resumed:
-		return awaitPong
-	case outstanding && silence >= l.hub.cfg.SilenceTimeout && now-pinged >= l.hub.cfg.SilenceTimeout-l.hub.cfg.PingInterval:
-		return closeLink
-	case !outstanding && silence >= l.pingInterval(now):
+	case now < l.due(now):
+		return keepLink
+	case !outstanding:
 		return pingLink
+	case resumed:
+		return awaitPong
 	}
-	return keepLink
+	return closeLink
 }
 
 // check carries out the verdict on a link.
@@ -93,26 +107,29 @@
 	}
 }
 
-// checkInterval returns the time between two checks of a link.
-func (h *Hub) checkInterval() time.Duration { return h.cfg.PingInterval / checksPerPing }
-
-// keepLinksAlive checks all links at intervals until the hub is closed. One loop for all
-// of them costs less than timers and a goroutine for each link.
+// keepLinksAlive checks the links when they are due, until the hub is closed, if
+// IdlePingInterval is set. One loop for all links costs less than the timers and the
+// goroutine of each link that a hub without IdlePingInterval has (pingLoop).
 func (h *Hub) keepLinksAlive() {
-	ticker := time.NewTicker(h.checkInterval())
-	defer ticker.Stop()
-	for last := time.Now(); ; {
+	// A link that is opened, or pinged on its first use, while the loop waits is due
+	// later than a PingInterval from then.
+	wait := h.cfg.PingInterval
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for last := time.Now(); ; timer.Reset(wait) {
 		select {
 		case <-h.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		now := time.Now()
-		resumed := now.Sub(last) > h.cfg.PingInterval
-		last = now
+		resumed := now.Sub(last) > 2*h.cfg.PingInterval
+		last, wait = now, h.cfg.PingInterval
 		for _, l := range h.links() {
 			l.check(l.age(), resumed)
+			wait = min(wait, l.due(l.age())-l.age())
 		}
+		wait = max(wait, h.cfg.MinCheckInterval)
 	}
 }
 
@@ -126,3 +143,31 @@
 	}
 	return links
 }
+
+// pingLoop sends a ping when nothing has been received for activePingInterval, until the
+// link is closed.
+func (l *link) pingLoop() {
+	interval := l.activePingInterval()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-timer.C:
+		}
+		now := l.age()
+		if idle := now - time.Duration(l.lastReceived.Load()); idle < interval {
+			timer.Reset(interval - idle)
+			continue
+		}
+		l.ping(now)
+		timer.Reset(interval)
+	}
+}
+
+// closeWhenSilent closes the link when the returned timer is not reset for
+// SilenceTimeout.
+func (l *link) closeWhenSilent() *time.Timer {
+	return time.AfterFunc(l.hub.cfg.SilenceTimeout, func() { l.Close("no message for " + l.hub.cfg.SilenceTimeout.String()) })
+}
--- a/internal/connection/peer/keepalive_test.go
+++ b/internal/connection/peer/keepalive_test.go
@@ -10,7 +10,7 @@
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 )
 
-var idleConfig = Config{PingInterval: 500 * time.Millisecond, IdlePingInterval: 3 * time.Second, SilenceTimeout: 1300 * time.Millisecond}
+var idleConfig = Config{PingInterval: 500 * time.Millisecond, IdlePingInterval: 3 * time.Second, MinCheckInterval: 125 * time.Millisecond, SilenceTimeout: 1300 * time.Millisecond}
 
 // unconnectedLink returns a link whose frames stay in its queue.
 func unconnectedLink(cfg Config) *link {
@@ -30,7 +30,7 @@
 
 // checkFor checks the link for a time, as the hub does, and answers its pings.
 func (l *link) checkFor(period time.Duration) (pings int) {
-	interval := l.hub.checkInterval()
+	interval := l.hub.cfg.MinCheckInterval
 	for end := time.Now().Add(period); time.Now().Before(end); {
 		time.Sleep(interval)
 		l.check(l.age(), false)
@@ -73,7 +73,7 @@
 		g.Expect(l.sentFrames()).To(Equal(1), "the link is in use")
 		sent := time.Now()
 		l.checkClosing(g, idleConfig.SilenceTimeout)
-		g.Expect(time.Since(sent)).To(BeNumerically("<=", idleConfig.SilenceTimeout+l.hub.checkInterval()))
+		g.Expect(time.Since(sent)).To(BeNumerically("<=", idleConfig.SilenceTimeout+l.hub.cfg.MinCheckInterval))
 	})
 }
 
@@ -97,7 +97,7 @@
 // checkClosing checks the link until it is to be closed, and fails if that is later than
 // the first check after a time.
 func (l *link) checkClosing(g *WithT, limit time.Duration) {
-	interval := l.hub.checkInterval()
+	interval := l.hub.cfg.MinCheckInterval
 	for begun := time.Now(); l.verdict(l.age(), false) != closeLink; time.Sleep(interval) {
 		g.Expect(time.Since(begun)).To(BeNumerically("<", limit+interval))
 	}
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -59,7 +59,7 @@
 		l.Close("the send queue is full, since the peer does not read")
 		return ErrClosed
 	}
-	if isKeepAlive(m) {
+	if isKeepAlive(m) || l.hub.cfg.IdlePingInterval == 0 {
 		return nil
 	}
 	if wasIdle := l.markUsed(); wasIdle {
@@ -176,6 +176,11 @@
 // readLoop passes received messages to the handler until the link is closed or a read
 // fails, and returns the reason. It responds to pings itself.
 func (l *link) readLoop() string {
+	var silence *time.Timer
+	if l.hub.cfg.IdlePingInterval == 0 {
+		silence = l.closeWhenSilent()
+		defer silence.Stop()
+	}
 	for {
 		// Close interrupts the read. A context with a deadline for each read would cost
 		// a timer per message.
@@ -186,6 +191,9 @@
 			}
 			return err.Error()
 		}
+		if silence != nil {
+			silence.Reset(l.hub.cfg.SilenceTimeout)
+		}
 		l.lastReceived.Store(int64(l.age()))
 		if l.usable.CompareAndSwap(false, true) {
 			l.hub.promote(l)
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -65,11 +65,14 @@
 	// SilenceTimeout.
 	PingInterval time.Duration
 	// IdlePingInterval replaces PingInterval on links that have carried nothing but pings
-	// for some seconds; 0 means PingInterval. Most links of a large fleet are rarely used.
-	// The first message on such a link is followed by a ping.
+	// for some seconds. Most links of a large fleet are rarely used. The first message on
+	// such a link is followed by a ping. With 0, all links are pinged at PingInterval.
 	IdlePingInterval time.Duration
-	// SilenceTimeout is the time without a received message after which the next check
-	// closes a link whose ping was not answered. Checks are a quarter of PingInterval apart.
+	// MinCheckInterval is the least time between two checks of the links, by which pings
+	// and the end of a silent link may be late. A longer one costs fewer wake-ups. It has
+	// no effect without IdlePingInterval.
+	MinCheckInterval time.Duration
+	// SilenceTimeout is the time without a received message after which a link is closed.
 	// It has to be several times PingInterval, since a busy peer responds late.
 	SilenceTimeout time.Duration
 	// DialTimeout bounds the time to connect and to exchange Hello messages.
@@ -155,7 +158,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l, ok := h.current[member]
-	if !ok {
+	if !ok || l.isClosed() {
 		return nil, false
 	}
 	return l, true
@@ -169,7 +172,7 @@
 		h.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if l, ok := h.current[member]; ok {
+	if l, ok := h.current[member]; ok && !l.isClosed() {
 		h.mu.Unlock()
 		return l, nil
 	}
@@ -342,7 +345,7 @@
 	if h.closed {
 		return nil, ErrClosed
 	}
-	if h.opened++; h.opened == 1 {
+	if h.opened++; h.opened == 1 && h.cfg.IdlePingInterval > 0 {
 		h.wg.Go(h.keepLinksAlive)
 	}
 	l.number = h.opened
@@ -368,6 +371,9 @@
 	h.handler.LinkUp(l)
 	var loops sync.WaitGroup
 	loops.Go(l.writeLoop)
+	if h.cfg.IdlePingInterval == 0 {
+		loops.Go(l.pingLoop)
+	}
 	if l.dialed {
 		l.ping(l.age())
 	}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -56,6 +56,8 @@
 	// pinged, linkSilenceLimit the one after which it is closed.
 	linkPingInterval = 500 * time.Millisecond
 	linkSilenceLimit = 1300 * time.Millisecond
+	// linkCheckInterval is by how much pings, and the end of a silent link, may be late.
+	linkCheckInterval = 125 * time.Millisecond
 	// idleLinkPingInterval replaces linkPingInterval on links that are rarely used. A
 	// longer interval costs less, and more attempts are sent on connections that have
 	// gone silent.
@@ -145,7 +147,8 @@
 		server: a.server, service: cfg.Service, metrics: deps.Metrics, log: log, splits: make(map[string]*weightedSplit),
 	}
 	a.hub = peer.NewHub(peer.Identity{Member: cfg.Member, Incarnation: a.incarnation, Zone: cfg.Zone},
-		peer.Config{PingInterval: linkPingInterval, IdlePingInterval: idleLinkPingInterval, SilenceTimeout: linkSilenceLimit, DialTimeout: peer.DefaultConfig.DialTimeout, Dial: deps.Network.Dial}, a)
+		peer.Config{PingInterval: linkPingInterval, IdlePingInterval: idleLinkPingInterval, MinCheckInterval: linkCheckInterval,
+			SilenceTimeout: linkSilenceLimit, DialTimeout: peer.DefaultConfig.DialTimeout, Dial: deps.Network.Dial}, a)
 	a.dispatcher.hub = a.hub
 	a.tables.onChange = a.fleet.pruneArrivals
 	a.tables.announce = func() { a.broadcast(0) }
