--- a/internal/connection/backend/exchange_test.go
+++ b/internal/connection/backend/exchange_test.go
@@ -279,3 +279,46 @@
 		g.Expect(received).NotTo(Receive())
 	}
 }
+
+// Guards against a second, late copy of a response that arrives byte by byte on a
+// connection that is in use again: it is read with the next request and skipped.
+func TestExchangeSkipsLateCopiesInPieces(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for former := ""; ; {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					id := request.Header.Get("Id")
+					for i := range former {
+						_, _ = io.WriteString(conn, former[i:i+1])
+						time.Sleep(100 * time.Microsecond)
+					}
+					former = okResponse(id, "body of "+id)
+					_, _ = io.WriteString(conn, former)
+				}
+			}()
+		}
+	}()
+	x := NewExchanger(bodyLimit)
+	defer x.Close()
+	for n := range 30 {
+		id := fmt.Sprint("r", n)
+		response, err := exchange(x, listener.Addr().String(), id, n%2 == 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(response.Body)).To(Equal("body of " + id))
+	}
+}
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -19,8 +19,8 @@
 	// attempts.
 	statusTimeout = 1800 * time.Millisecond
 	// shareHoldTime is the time without a status for which a member's share of the
-	// rates stays reserved. A member that is silent for longer has either ended or lost
-	// its connection to the store as well, and then it refuses requests with keys.
+	// rates stays reserved. A member that is silent for longer has most likely ended, or has
+	// lost the store and its peers, and then it refuses requests with keys.
 	shareHoldTime = 5 * time.Second
 	// unreachableTime is how long a member gets no new attempts after a connection to
 	// it failed.
--- a/internal/process/testbed/process_test.go
+++ b/internal/process/testbed/process_test.go
@@ -246,7 +246,7 @@
 	}
 
 	// Guards against a graceful stop that aborts requests or loses tickets.
-	It("cut no request when all daemons restart one after the other", Label("known-red"), func() {
+	It("cut no request when all daemons restart one after the other", func() {
 		t := startTraffic(cluster, 8, false)
 		restartAll()
 		t.finish()
--- a/internal/version/confirmation/confirmation_test.go
+++ b/internal/version/confirmation/confirmation_test.go
@@ -1,6 +1,7 @@
 package confirmation
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -75,6 +76,12 @@
 // messages are delayed, duplicated or reordered: a daemon that counts on it would accept
 // a withdrawn key after the bound.
 func TestConfirmationsAreNeverTooFresh(t *testing.T) {
+	// The shortest sequences that break a wrong proof have six steps of eight kinds.
+	for name, value := range map[string]string{"rapid.checks": "2000", "rapid.steps": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t}
 		for range rapid.IntRange(2, 5).Draw(t, "daemons") {
@@ -126,7 +133,7 @@
 					return // answers to former questions are dropped
 				}
 				d := w.daemons[m.to]
-				if m.answer.Version > d.version { // the tables come with the answer
+				if m.answer.Version > d.version && rapid.Bool().Draw(t, "usable") { // the tables come with the answer
 					d.version = m.answer.Version
 				}
 				if proven, ok := ProvenTime(d.asked, d.clock(w.now), d.version, *m.answer); ok {
