agent: a paused reader answers truthfully

Cause: a reply read the age of the confirmation before the time for which it had held the question. Change: the time held is read first. Test: TestPausedReaderAnswersTruthfully pauses before each reading of the clock; with the former order it fails at the pause before reading 2.

--- a/internal/process/agent/tables_questions.go
+++ b/internal/process/agent/tables_questions.go
@@ -76,8 +76,11 @@
 
 // answer replies to a question of a peer.
 func (t *tablesFollower) answer(question parkedQuestion) {
-	// The age is read before the version, see age.
-	reply := wire.TablesReply{Number: question.number, Age: t.age(), Held: t.clock.now() - question.received}
+	// The order matters if the process is paused in between: a time held that is read too
+	// early, an age that is read too late and a version that is newer than the age
+	// understate the freshness. See also age.
+	reply := wire.TablesReply{Number: question.number, Held: t.clock.now() - question.received}
+	reply.Age = t.age()
 	if c := t.current.Load(); c != nil {
 		reply.Version, reply.Next = uint64(c.catalog.Version()), uint64(c.next)
 		if c.catalog.Version() > question.version {
--- a/internal/process/agent/tables_test.go
+++ b/internal/process/agent/tables_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 	"tarragonshore.example/tarragonshore/internal/version/confirmation"
@@ -116,3 +117,43 @@
 	g.Expect(follower.age()).To(BeNumerically(">", time.Hour))
 	g.Expect(follower.catalog()).To(BeNil())
 }
+
+// answerRecorder is a link that records the replies sent on it.
+type answerRecorder struct {
+	peer.Link
+	replies []wire.TablesReply
+}
+
+func (r *answerRecorder) Number() uint64 { return 1 }
+func (r *answerRecorder) Send(m wire.Message) error {
+	r.replies = append(r.replies, m.(wire.TablesReply))
+	return nil
+}
+
+// Guards against a reader that is paused between the steps of its answer: the time of the
+// pause must not make its confirmation look fresher to the asker.
+func TestPausedReaderAnswersTruthfully(t *testing.T) {
+	g := NewWithT(t)
+	for paused := range 4 { // the reading of the clock before which the process is paused
+		now, readings := time.Minute, -1
+		follower := newTablesFollower(&scriptedStore{}, 5*time.Second, "host-0", "zone-a")
+		follower.clock = bootClock{boot: func() time.Duration {
+			if readings++; readings == paused {
+				now += 5 * time.Second
+			}
+			return now
+		}, instant: func() instant {
+			return instant{monotonic: time.Duration(readings) * time.Hour} // no reading is extrapolated
+		}}
+		follower.apply(&catalog.Content{Version: 3}, nil, 0)
+		confirmed := now
+		follower.confirm(confirmed)
+		link := &answerRecorder{}
+		follower.onQuestion(link, &wire.TablesRequest{Number: 7, Version: 3})
+		g.Expect(link.replies).To(HaveLen(1))
+		reply := link.replies[0]
+		proven, ok := confirmation.ProvenTime(confirmed, now, 3, confirmation.Answer{Version: reply.Version, Age: reply.Age, Held: reply.Held})
+		g.Expect(ok).To(BeTrue())
+		g.Expect(proven).To(BeNumerically("<=", confirmed), "paused before reading %d", paused)
+	}
+}
