agent: a resumed process starts no attempt at a server that has drained

Change: the time since the announcement is read, on the boot clock, right before the attempt is sent. Test: TestPausedProcessStartsNothingAtADrainingServer, failed without the check.

--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -199,6 +199,10 @@
 	if abandoned {
 		cancel()
 	}
+	if e.server.startsForbidden() {
+		e.finish(r, nil, errStartForbidden)
+		return
+	}
 	view := e.server.view(time.Now())
 	header := append([]wire.HeaderField(nil), r.attempt.Request.Header...)
 	header = append(header, e.protocol.ServerHeader(ServerFields{
@@ -218,6 +222,10 @@
 	e.finish(r, response, err)
 }
 
+// errStartForbidden means that an attempt was to be started when the backend server had
+// been draining for too long, for example since this process was paused.
+var errStartForbidden = errors.New("the backend server has been draining for longer than attempts may be started; send the request to another server")
+
 // finish sends the answer to a run that has ended and starts queued attempts in the
 // slot that it has freed.
 func (e *executor) finish(r *run, response *backend.Response, err error) {
@@ -262,7 +270,8 @@
 // mu.
 func (e *executor) isServerFailure(r *run, answer *wire.Answer) bool {
 	if answer.Response == nil {
-		return problem.Kind(answer.Refusal.Kind) != problem.KindDeadline
+		kind := problem.Kind(answer.Refusal.Kind)
+		return kind != problem.KindDeadline && kind != problem.KindDraining
 	}
 	madeNoCalls := len(r.calls) == 0 && (e.callsAttributed || !e.callsUnattributed)
 	return answer.Response.Status == http.StatusInternalServerError && madeNoCalls
@@ -290,6 +299,9 @@
 // exchangeRefusal returns the refusal for an exchange without a complete response, and
 // whether the request reached the backend server.
 func (e *executor) exchangeRefusal(r *run, err error) (refusal *wire.Refusal, reached bool) {
+	if errors.Is(err, errStartForbidden) {
+		return wireRefusal(problem.New(problem.KindDraining, err.Error()).WithRetryAfter(briefRetryAfter)), false
+	}
 	var failure *backend.Error
 	if errors.As(err, &failure) && failure.NotExecuted {
 		e.server.connectionRefused(time.Now())
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -1,11 +1,15 @@
 package agent
 
 import (
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"tarragonshore.example/tarragonshore/internal/connection/backend"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
 )
@@ -56,3 +60,49 @@
 	late := &wire.Answer{Refusal: wireRefusal(problem.Unknown(problem.KindDeadline, "no answer in time"))}
 	g.Expect(e.isServerFailure(callingRun, late)).To(BeFalse())
 }
+
+// answersOf records the answers that an executor delivers.
+type answersOf chan *wire.Answer
+
+func (a answersOf) deliver(answer *wire.Answer) { a <- answer }
+
+// Guards against a process that was paused after it had acknowledged that its backend
+// server is draining: when it resumes, it must not start attempts that were queued
+// before, and refuses them as not executed.
+func TestPausedProcessStartsNothingAtADrainingServer(t *testing.T) {
+	for paused, refused := range map[time.Duration]bool{0: false, drainingQueueTime / 2: false, 5 * time.Second: true} {
+		g := NewWithT(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = listener.Close() }()
+		connected := make(chan struct{}, 1)
+		go func() {
+			if conn, err := listener.Accept(); err == nil {
+				connected <- struct{}{}
+				_ = conn.Close()
+			}
+		}()
+		boot := time.Minute
+		server := newServerState(heartbeatInterval, listener.Addr().String())
+		server.clock = bootClock{boot: func() time.Duration { return boot }, instant: func() instant { return instant{monotonic: boot} }}
+		heartbeat := testHeartbeat("a", 1, 1, StateDraining)
+		heartbeat.Address = listener.Addr().String()
+		g.Expect(server.applyHeartbeat(time.Now(), heartbeat)).To(Succeed())
+		e := newExecutor(dottedIDs{noHeaders{}}, server, backend.NewExchanger(maxBodyBytes), nil, newRequestLog())
+		boot += paused
+		answers := make(answersOf, 1)
+		now := time.Now()
+		e.wg.Add(1)
+		e.execute(&run{attempt: &wire.Attempt{Server: "a", Pool: "stock", Request: wire.Request{Method: "GET", Target: "/", Host: "h"}},
+			receiver: answers, arrived: now, started: now, deadline: now.Add(time.Second)})
+		answer := <-answers
+		g.Expect(answer.Refusal.Executed == string(problem.ExecutedNo)).To(Equal(refused))
+		g.Expect(len(connected) == 0).To(Equal(refused), "paused for %v", paused)
+	}
+}
+
+// noHeaders is a protocol without header fields.
+type noHeaders struct{ Protocol }
+
+func (noHeaders) ServerHeader(ServerFields) []wire.HeaderField { return nil }
+func (noHeaders) Matches(string, int, http.Header) bool        { return true }
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -27,6 +27,7 @@
 	heartbeatInterval time.Duration
 	address           string // where the host's backend server listens
 	onChange          func(ServerView)
+	clock             bootClock
 
 	mu              sync.Mutex
 	last            Heartbeat
@@ -34,6 +35,9 @@
 	lastHeartbeatAt time.Time
 	warmUntil       time.Time
 	refusedUntil    time.Time
+	// drainingSince is the boot-clock time at which the server announced that it is
+	// draining, or deregistered; 0: it has not.
+	drainingSince time.Duration
 }
 
 // ServerView is the state of the backend server at one time.
@@ -62,13 +66,16 @@
 	}
 	sameStart := h.Server == s.last.Server && h.Started == s.last.Started
 	if !sameStart {
-		s.deregistered = false
+		s.deregistered, s.drainingSince = false, 0
 	}
 	draining := s.deregistered || sameStart && s.last.State == StateDraining
 	if draining {
 		h.State = StateDraining // draining is final for one start of a server
 	}
 	s.last, s.lastHeartbeatAt = h, now
+	if h.State == StateDraining {
+		s.markDraining()
+	}
 	s.warmUntil = now.Add(h.WarmUp)
 	s.refusedUntil = time.Time{}
 	view := s.viewLocked(now)
@@ -77,6 +84,21 @@
 	return nil
 }
 
+// markDraining records when the server began to drain. The caller holds mu.
+func (s *serverState) markDraining() {
+	if s.drainingSince == 0 {
+		s.drainingSince = max(1, s.clock.now())
+	}
+}
+
+// startsForbidden reports whether the server has been draining for so long that queued
+// attempts must not be started any more, even if this process was paused meanwhile.
+func (s *serverState) startsForbidden() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drainingSince > 0 && s.clock.now()-s.drainingSince > drainingQueueTime
+}
+
 // stale reports whether a heartbeat is older than the last one. The caller holds mu.
 func (s *serverState) stale(h Heartbeat) bool {
 	switch {
@@ -100,6 +122,7 @@
 	}
 	s.deregistered = true
 	s.last.State = StateDraining
+	s.markDraining()
 	s.lastHeartbeatAt = now
 	view := s.viewLocked(now)
 	s.mu.Unlock()
