--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -58,7 +58,6 @@
 	maxBufferedBytes = 32 << 20
 	// bodyReadBytes is the most that an exchange reads of a body at a time.
 	bodyReadBytes = 64 << 10
-	userAgent     = "User-Agent"
 )
 
 // Errors of an exchange, wrapped in *Error.
