agent: a planned stop answers every request that it has read

Cause: a stopping daemon took each request without a workspace for a call of its backend server, accepted it until its end, was never idle and had no time left to close the port. Beside it: bodies that end late, attempts still queued at another host, calls in the last second, and refused requests that counted as in flight. Change: a request without a key counts as a call only if a run in progress can have made it; the stop is checked again after the body; 0.2 s before the end what has not started is withdrawn everywhere and refused as not run; the port is closed within the time of the stop. Why it works: after the accept time nothing new is passed on that could outlast the process, and what waits is answered before the connections close.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -197,6 +197,9 @@
 // Cancel tells the executing daemon that the result of the attempt is no longer needed.
 type Cancel struct {
 	ID AttemptID `cbor:"1,keyasint"`
+	// KeepStarted asks for an answer: an attempt that has not started is refused as not
+	// executed, and one that has started continues. Only tarragon-agent uses it.
+	KeepStarted bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Forward passes a caller's request with its ticket to the ticket's owner, the daemon
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -287,7 +287,11 @@
 	case *wire.Answer:
 		a.dispatcher.deliver(m)
 	case *wire.Cancel:
-		a.executor.abandon(m.ID)
+		if m.KeepStarted {
+			a.executor.withdraw(m.ID)
+		} else {
+			a.executor.abandon(m.ID)
+		}
 	case *wire.TablesRequest:
 		a.tables.onQuestion(l, m)
 	case *wire.TablesReply:
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
@@ -54,8 +55,9 @@
 
 // pendingAttempt is an attempt whose answer has not arrived.
 type pendingAttempt struct {
-	done chan attemptResult // buffered
-	link uint64             // number of the link it was sent on; 0 for the local executor
+	done   chan attemptResult // buffered
+	link   uint64             // number of the link it was sent on; 0 for the local executor
+	sentOn peer.Link          // nil for the local executor
 }
 
 // dispatcher sends attempts to executing daemons and waits for their answers.
@@ -69,6 +71,8 @@
 	// retryLimit bounds the retries that arrive at a service, summed over all levels
 	// of the call chain, as a fraction of its requests.
 	retryLimit float64
+	// stopping is true at the end of a graceful stop, when no attempt is sent any more.
+	stopping atomic.Bool
 
 	mu        sync.Mutex
 	pending   map[wire.AttemptID]*pendingAttempt
@@ -93,6 +97,9 @@
 	reached, notReached := 0, 0
 	var outcome callOutcome
 	for {
+		if d.stopping.Load() {
+			return outcome.finalAnswer("the daemon is stopping")
+		}
 		id, member, ok := d.fleet.pickUpstream(time.Now(), c.service, c.tried)
 		if !ok {
 			return outcome.finalAnswer("no untried upstream of service " + c.service + " is available")
@@ -133,6 +140,8 @@
 		return false, "answered"
 	case result.response != nil && result.response.Status == http.StatusGatewayTimeout:
 		return false, "answered"
+	case d.stopping.Load():
+		return false, "stopping"
 	case remaining < minRetryTime:
 		return false, "no-time-left"
 	}
@@ -261,7 +270,7 @@
 		d.fleet.markUnreachable(time.Now(), member.name)
 		return notSent("no link to " + member.name + ": " + err.Error())
 	}
-	p.link = link.Number()
+	p.link, p.sentOn = link.Number(), link
 	d.addPending(message.ID, p)
 	if err := link.Send(message); err != nil {
 		d.removePending(message.ID)
@@ -305,6 +314,24 @@
 	return attemptResult{abandoned: true, refusal: problem.Unknown(problem.KindDeadline, "no answer before the deadline")}
 }
 
+// withdraw ends the calls whose attempt no backend server has started, at the end of a
+// graceful stop. The executing daemons refuse these attempts as not executed; those at the
+// local executor are withdrawn there.
+func (d *dispatcher) withdraw() {
+	d.stopping.Store(true)
+	links := map[wire.AttemptID]peer.Link{}
+	d.mu.Lock()
+	for id, p := range d.pending {
+		if p.sentOn != nil {
+			links[id] = p.sentOn
+		}
+	}
+	d.mu.Unlock()
+	for id, link := range links {
+		_ = link.Send(&wire.Cancel{ID: id, KeepStarted: true}) // a closed link ends its attempts
+	}
+}
+
 // deliver processes an answer from a link or from the local executor.
 func (d *dispatcher) deliver(answer *wire.Answer) {
 	d.mu.Lock()
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -43,6 +43,8 @@
 	importance    uint8
 	tablesVersion catalog.Version // of the tables it was checked against
 	tablesAge     time.Duration   // since the store confirmed the tables
+	// ofRun is true if the id names the run in progress that made the request.
+	ofRun bool
 }
 
 func (req *inboundRequest) routeName() string {
@@ -66,7 +68,11 @@
 	log        *requestLog
 	// stopping is nil until a graceful stop begins.
 	stopping atomic.Pointer[stopSchedule]
+	// closing is true from the end of a graceful stop, when every new request is refused.
+	closing  atomic.Bool
 	inFlight atomic.Int64
+	// accepted is the number of requests in flight that were not refused on arrival.
+	accepted atomic.Int64
 
 	mu     sync.Mutex
 	splits map[string]*weightedSplit // by route name
@@ -122,11 +128,21 @@
 		return nil, refusal
 	}
 	req.deadline = req.arrived.Add(req.timeout())
+	// Counted before the check whether the daemon stops: a stop that finds no accepted
+	// request can rely on that.
+	e.accepted.Add(1)
+	defer e.accepted.Add(-1)
 	if refusal := e.admit(req, c); refusal != nil {
 		return nil, refusal
 	}
 	request, refusal := caller.ReadRequest(r, bodyLimit(c))
+	if refusal == nil {
+		refusal = e.checkStop(req) // the body may have taken long
+	}
 	if refusal != nil {
+		if req.workspace != "" {
+			e.fleet.returnToken(req.workspace)
+		}
 		return nil, refusal
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(answerGrace))
@@ -161,6 +177,15 @@
 	return timeout
 }
 
+// statedDeadline returns the deadline that the caller stated, or the request's if it
+// stated none.
+func (req *inboundRequest) statedDeadline() time.Time {
+	if req.fields.Deadline <= 0 {
+		return req.deadline
+	}
+	return req.arrived.Add(req.fields.Deadline)
+}
+
 // originService returns the service on this host: the one that the backend server
 // announced, or the one in the settings.
 func (e *entryHandler) originService() string {
@@ -223,18 +248,20 @@
 
 // admit checks the rate of the workspace and whether the fleet has capacity for the
 // request. A request without a workspace is taken for a call made by a backend server
-// and always admitted, since such a call belongs to a request that was admitted.
+// and always admitted, since such a call belongs to a request that was admitted. While the
+// daemon stops, it is admitted only if that can be true: callers, too, send requests
+// without a key, on open routes and where the tables have no workspaces.
 func (e *entryHandler) admit(req *inboundRequest, c *catalog.Catalog) *problem.Problem {
 	if req.workspace == "" {
 		if importance, known := e.executor.countCall(req.fields.RequestID, req.route.Name); known {
-			req.importance = importance
+			req.importance, req.ofRun = importance, true
 		}
-		return nil
+		return e.checkStop(req)
 	}
-	now := time.Now()
-	if stop := e.stopping.Load(); stop != nil && !stop.accepts(now, true) {
-		return problem.New(problem.KindDraining, "the daemon is stopping").WithRetryAfter(staleRetryAfter)
+	if refusal := e.checkStop(req); refusal != nil {
+		return refusal
 	}
+	now := time.Now()
 	if !e.fleet.membersKnown(now) {
 		return problem.New(problem.KindTablesStale, "the directory of daemons has not been read yet").WithRetryAfter(staleRetryAfter)
 	}
@@ -248,6 +275,20 @@
 	return nil
 }
 
+// checkStop returns a refusal if the daemon is stopping and the request might be cut off.
+func (e *entryHandler) checkStop(req *inboundRequest) *problem.Problem {
+	stop := e.stopping.Load()
+	if stop == nil {
+		return nil
+	}
+	now := time.Now()
+	fromCaller := req.workspace != "" || !req.ofRun && !e.executor.mayHaveMadeCall(req.statedDeadline())
+	if e.closing.Load() || !stop.accepts(now, fromCaller) || !fromCaller && !stop.acceptsCall(now, req.deadline) {
+		return problem.New(problem.KindDraining, "the daemon is stopping").WithRetryAfter(staleRetryAfter)
+	}
+	return nil
+}
+
 // shedRetryAfter returns the Retry-After of a shed request, spread by a hash of its id.
 func (e *entryHandler) shedRetryAfter(req *inboundRequest) time.Duration {
 	spread := shedding.HashFraction(req.fields.RequestID)
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -25,6 +25,9 @@
 	// cancelGrace is how long after the deadline the connection to the backend server
 	// stays open, so that the server can still send its own time-out response.
 	cancelGrace = 60 * time.Millisecond
+	// callDeadlineSlack is by how much the deadline of a call may lie after that of its
+	// run, since both are rounded and measured from the arrival at the daemon.
+	callDeadlineSlack = 100 * time.Millisecond
 	// briefRetryAfter is the Retry-After of a refusal whose cause is short-lived.
 	briefRetryAfter = 300 * time.Millisecond
 	// queueRetryAfter is the Retry-After of a refusal by the queue.
@@ -334,6 +337,36 @@
 	})
 }
 
+// withdraw refuses an attempt as not executed if it has not started. A run in progress
+// continues.
+func (e *executor) withdraw(id wire.AttemptID) {
+	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
+		e.withdrawLocked(id, "withdrawn by a daemon that is stopping", out)
+		return runqueue.Actions{}
+	})
+}
+
+// withdrawQueued refuses all attempts that have not started as not executed.
+func (e *executor) withdrawQueued() {
+	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
+		for id := range e.runs {
+			e.withdrawLocked(id, "the daemon is stopping", out)
+		}
+		return runqueue.Actions{}
+	})
+}
+
+// withdrawLocked is withdraw for callers that hold mu.
+func (e *executor) withdrawLocked(id wire.AttemptID, detail string, out *[]outgoingAnswer) {
+	r, ok := e.runs[id]
+	if !ok || !e.queue.Cancel(id) {
+		return
+	}
+	delete(e.runs, id)
+	refused := problem.New(problem.KindDraining, detail).WithRetryAfter(briefRetryAfter)
+	*out = append(*out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, refused)})
+}
+
 // receiverLost abandons the attempts that arrived on a link that has closed.
 func (e *executor) receiverLost(from answerReceiver) {
 	var ids []wire.AttemptID
@@ -367,12 +400,8 @@
 		return
 	}
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
-		for id, r := range e.runs {
-			if e.queue.Cancel(id) {
-				delete(e.runs, id)
-				refused := problem.New(problem.KindDraining, "the backend server is draining").WithRetryAfter(briefRetryAfter)
-				*out = append(*out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, refused)})
-			}
+		for id := range e.runs {
+			e.withdrawLocked(id, "the backend server is draining", out)
 		}
 		return runqueue.Actions{}
 	})
@@ -424,6 +453,22 @@
 	return parent.attempt.Context.Importance, true
 }
 
+// mayHaveMadeCall reports whether a request without a key, whose id names no run in
+// progress, can be a call that one of them has made: a call expires with its run.
+func (e *executor) mayHaveMadeCall(deadline time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.callsAttributed {
+		return false
+	}
+	for _, r := range e.runs {
+		if !r.started.IsZero() && !deadline.After(r.deadline.Add(callDeadlineSlack)) {
+			return true
+		}
+	}
+	return false
+}
+
 // fillStatus sets the executor's part of a status. An interval above 0 closes the
 // current interval of the measured rates.
 func (e *executor) fillStatus(interval time.Duration, status *wire.Status) {
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -106,3 +106,19 @@
 
 func (noHeaders) ServerHeader(ServerFields) []wire.HeaderField { return nil }
 func (noHeaders) Matches(string, int, http.Header) bool        { return true }
+
+// Guards against a stopping daemon that takes a caller's request without a key for a call
+// of a run in progress. A call's id names its run, or, where ids tell nothing, the call
+// expires no later than a run that has started.
+func TestRequestsThatNoRunCanHaveMade(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	e := newExecutor(dottedIDs{}, newServerState(heartbeatInterval, ownAddress), nil, nil, nil)
+	g.Expect(e.mayHaveMadeCall(now)).To(BeFalse(), "nothing runs")
+	e.runs[wire.AttemptID{1}] = &run{attempt: &wire.Attempt{}, started: now, deadline: now.Add(time.Second)}
+	e.runs[wire.AttemptID{2}] = &run{attempt: &wire.Attempt{}, deadline: now.Add(time.Minute)}
+	g.Expect(e.mayHaveMadeCall(now.Add(time.Second + callDeadlineSlack))).To(BeTrue())
+	g.Expect(e.mayHaveMadeCall(now.Add(2*time.Second))).To(BeFalse(), "it expires after every run that has started")
+	e.callsAttributed = true
+	g.Expect(e.mayHaveMadeCall(now)).To(BeFalse(), "the ids of calls name their runs")
+}
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -23,6 +23,12 @@
 	pollPause = 20 * time.Millisecond
 	// idleTime is how long nothing must have been in flight before the process exits.
 	idleTime = 200 * time.Millisecond
+	// withdrawTime is the time before the deadline of a stop at which the attempts that
+	// still wait in queues are withdrawn, so that their callers get an answer.
+	withdrawTime = 200 * time.Millisecond
+	// callFinishTime is the time before the withdrawal in which no new call is accepted
+	// whose own deadline is later: it could be cut off.
+	callFinishTime = time.Second
 )
 
 // stopSchedule determines what a daemon still serves after a graceful stop has begun.
@@ -37,11 +43,22 @@
 	return !fromCaller || now.Sub(s.begun) < time.Duration(acceptShare*float64(s.grace))
 }
 
+// acceptsCall reports whether a call of a run in progress that arrives at now and expires
+// at deadline will have been answered when the process exits.
+func (s stopSchedule) acceptsCall(now, deadline time.Time) bool {
+	return now.Before(s.withdrawal().Add(-callFinishTime)) || deadline.Before(s.withdrawal())
+}
+
+// withdrawal returns the time at which attempts that wait in queues are withdrawn.
+func (s stopSchedule) withdrawal() time.Time { return s.deadline().Add(-withdrawTime) }
+
 // deadline returns the time by which the process has to exit.
 func (s stopSchedule) deadline() time.Time { return s.begun.Add(s.grace - killMargin) }
 
-// Stop stops the agent gracefully: requests in flight are completed within the grace
-// time.
+// Stop stops the agent gracefully. Requests that were accepted are completed within the
+// grace time, and those that arrive later are refused as not executed for as long as
+// connections are open. Of the requests that are still in progress at the end, those that
+// no backend server has started are refused too; the others are cut off.
 func (a *Agent) Stop(ctx context.Context) error {
 	schedule := stopSchedule{begun: time.Now(), grace: a.cfg.StopGrace}
 	logging.InfoEvent("agent", "stopping", "member", a.cfg.Member, "grace", a.cfg.StopGrace)
@@ -58,9 +75,12 @@
 		a.unregister(ctx)
 	}()
 	pause(ctx, lameDuckTime)
-	a.drain(ctx)
-	<-unregistered
+	a.drain(ctx, schedule)
+	a.entry.closing.Store(true)
+	a.dispatcher.withdraw()
+	a.executor.withdrawQueued()
 	a.stopCallerPort(ctx)
+	<-unregistered
 	a.Close()
 	logging.InfoEvent("agent", "stopped", "member", a.cfg.Member, "in_flight", a.entry.inFlight.Load(), "runs", a.executor.inProgress())
 	return nil
@@ -88,12 +108,14 @@
 	}
 }
 
-// drain waits until nothing has been in flight for idleTime. If ctx ends before, it logs
-// what is still in flight.
-func (a *Agent) drain(ctx context.Context) {
+// drain waits until no accepted request and no run has been in progress for idleTime. If
+// the time of the withdrawal comes before, it logs what is still in progress.
+func (a *Agent) drain(ctx context.Context, schedule stopSchedule) {
+	ctx, cancel := context.WithDeadline(ctx, schedule.withdrawal())
+	defer cancel()
 	idleSince := time.Now()
 	for ctx.Err() == nil {
-		if a.entry.inFlight.Load() > 0 || a.executor.inProgress() > 0 {
+		if a.entry.accepted.Load() > 0 || a.executor.inProgress() > 0 {
 			idleSince = time.Now()
 		}
 		if time.Since(idleSince) > idleTime {
@@ -102,7 +124,7 @@
 		pause(ctx, pollPause)
 	}
 	requestID, oldest := a.executor.oldestRun(time.Now())
-	logging.WarningEvent("agent", "stop-not-drained", "in_flight", a.entry.inFlight.Load(), "runs", a.executor.inProgress(),
+	logging.WarningEvent("agent", "stop-not-drained", "accepted", a.entry.accepted.Load(), "runs", a.executor.inProgress(),
 		"oldest_run", requestID, "oldest_ms", oldest.Milliseconds())
 }
 
--- a/internal/process/agent/stop_test.go
+++ b/internal/process/agent/stop_test.go
@@ -26,3 +26,16 @@
 	g.Expect(stop.accepts(begun.Add(lameDuckTime), true)).To(BeTrue(), "callers are served while they move to other daemons")
 	g.Expect(stop.deadline()).To(BeTemporally("<", begun.Add(stop.grace)))
 }
+
+// Guards against calls that are accepted so late in a stop that the end of the process cuts
+// them, and so fails the run that made them.
+func TestStoppingDaemonAcceptsNoCallThatItWouldCut(t *testing.T) {
+	g := NewWithT(t)
+	begun := time.Now()
+	stop := stopSchedule{begun: begun, grace: 6 * time.Second}
+	late := stop.withdrawal().Add(-callFinishTime)
+	g.Expect(stop.acceptsCall(late.Add(-time.Millisecond), begun.Add(stop.grace))).To(BeTrue())
+	g.Expect(stop.acceptsCall(late, begun.Add(stop.grace))).To(BeFalse())
+	g.Expect(stop.acceptsCall(late.Add(callFinishTime/2), stop.withdrawal().Add(-time.Millisecond))).To(BeTrue(), "it expires in time")
+	g.Expect(stop.withdrawal()).To(BeTemporally("<", stop.deadline()))
+}
