agent: daemons that live learn of each other, whatever the directory says

Cause: a stopping daemon's removal from the directory was executed after its next process had registered. That process never looked at its record again, a daemon that starts later asks only the directory, and two daemons of one zone that don't know each other stay apart. Beside it: no second read after a late registration, lost records that were never restored, daemons that left the directory while they admitted requests, former addresses that stayed. Change: an epoch by member fences late writes off; statuses carry a digest of the live members, and a daemon that lacks some asks for the list; the zones' readers check the directory 10 s after a start and tell unlisted members, which register again; the record goes when the daemon has ceased to accept. Why it works: a view that lacks a member differs from the others' digests until it has it, and no write of an ended process can follow one of its successor.

--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -165,6 +165,12 @@
 		return &Status{}
 	case TypeRelay:
 		return &Relay{}
+	case TypeMembersRequest:
+		return &MembersRequest{}
+	case TypeMembersReply:
+		return &MembersReply{}
+	case TypeUnlisted:
+		return &Unlisted{}
 	}
 	return nil
 }
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -38,6 +38,9 @@
 	TypeGoAway
 	TypeStatus
 	TypeRelay
+	TypeMembersRequest
+	TypeMembersReply
+	TypeUnlisted
 )
 
 // Message is a value of one of the message types of this package.
@@ -368,8 +371,40 @@
 	// TablesSource is where the sender's tables are confirmed. It is absent in statuses
 	// of releases that do not answer a TablesRequest.
 	TablesSource TablesSource `cbor:"19,keyasint,omitempty"`
+	// Members is the digest of the members that the sender takes for live. It is zero in
+	// statuses of releases that do not answer a MembersRequest.
+	Members MembersDigest `cbor:"20,keyasint"`
 }
 
+// MembersDigest stands for a set of members.
+type MembersDigest struct {
+	_     struct{} `cbor:",toarray"`
+	Count uint32
+	Names uint64 // the exclusive or of the XXH64 hashes of the names
+}
+
+// MembersRequest asks a tarragon-agent for the members that it takes for live, as
+// datagrams to Address.
+type MembersRequest struct {
+	Address string `cbor:"1,keyasint"`
+}
+
+// MembersReply is a part of the answer to a MembersRequest.
+type MembersReply struct {
+	Members []MemberAddress `cbor:"1,keyasint"`
+}
+
+// MemberAddress tells where a member receives datagrams and peer links.
+type MemberAddress struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Address string
+	Zone    string
+}
+
+// Unlisted tells a tarragon-agent that the directory lacks its record.
+type Unlisted struct{}
+
 // TablesSource is where the tables of a tarragon-agent are confirmed.
 type TablesSource uint8
 
@@ -402,6 +437,15 @@
 // Type implements Message.
 func (Relay) Type() Type { return TypeRelay }
 
+// Type implements Message.
+func (MembersRequest) Type() Type { return TypeMembersRequest }
+
+// Type implements Message.
+func (MembersReply) Type() Type { return TypeMembersReply }
+
+// Type implements Message.
+func (Unlisted) Type() Type { return TypeUnlisted }
+
 // Type implements Message.
 func (Status) Type() Type { return TypeStatus }
 
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -46,12 +46,6 @@
 	// planInterval is the time between computations of the shedding plan and the
 	// rate shares.
 	planInterval = 250 * time.Millisecond
-	// directoryInterval is the time between reads of the directory, by the daemons that
-	// read the store for their zone. It can be long, since members that start later make
-	// themselves known by sending a status.
-	directoryInterval = time.Minute
-	// directoryRetryDelay is the delay after a failed call to the directory.
-	directoryRetryDelay = 500 * time.Millisecond
 	// linkPingInterval is the time without a received message after which a link is
 	// pinged, linkSilenceLimit the one after which it is closed.
 	linkPingInterval = 500 * time.Millisecond
@@ -124,6 +118,10 @@
 	statusNumber   uint64
 	lastStatus     wire.Status // the last one sent; its rates are repeated until an interval ends
 	leaving        atomic.Bool
+	// directoryEpoch is the epoch of this daemon's next write to the directory.
+	directoryEpoch atomic.Uint64
+	// unlisted has an element if a member has found that the directory lacks this daemon.
+	unlisted chan struct{}
 	// question is the question to a peer about its tables that waits for a reply.
 	question atomic.Pointer[pendingQuestion]
 
@@ -135,7 +133,8 @@
 // New returns an agent that has not started.
 func New(cfg Config, deps Dependencies) *Agent {
 	log := newRequestLog()
-	a := &Agent{cfg: cfg, deps: deps, incarnation: uint64(time.Now().UnixNano())}
+	a := &Agent{cfg: cfg, deps: deps, incarnation: uint64(time.Now().UnixNano()), unlisted: make(chan struct{}, 1)}
+	a.directoryEpoch.Store(uint64(time.Now().UnixMilli()))
 	a.tables = newTablesFollower(deps.Store, cfg.RevokeBound, cfg.Member, cfg.Zone)
 	a.tables.peers, a.tables.metrics = a, deps.Metrics
 	a.server = newServerState(cfg.HeartbeatInterval, cfg.ServerAddress)
@@ -206,6 +205,7 @@
 		{"tarragon_tables_source", "Where the tables are confirmed: 1 peers, 2 the store, for the zone, 3 the store is lost; 0 before the first decision.", func() float64 { return float64(a.tables.source.Load()) }},
 		{"tarragon_tables_parked_questions", "Questions of peers that wait for this daemon's next confirmation.", func() float64 { return float64(a.tables.parkedQuestions()) }},
 		{"tarragon_members_usable", "Members whose backend servers accept attempts.", a.fleet.usableMembers},
+		{"tarragon_members_live", "Members, this one included, that take part in the fleet.", func() float64 { return float64(a.fleet.membersDigest(time.Now()).Count) }},
 		{"tarragon_runs", "Attempts running or queued at this host.", func() float64 { return float64(a.executor.inProgress()) }},
 		{"tarragon_in_flight", "Requests from callers and from the backend server that this daemon is handling.", func() float64 { return float64(a.entry.inFlight.Load()) }},
 		{"tarragon_least_share", "Smallest share that the shedding plan admits of the requests of a route and importance.", a.fleet.leastShare},
--- /dev/null
+++ b/internal/process/agent/directory.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+)
+
+const (
+	// directoryInterval is the time between reads of the directory, by the daemons that
+	// read the store for their zone. It can be long, since members that start later make
+	// themselves known by sending a status.
+	directoryInterval = time.Minute
+	// directoryRetryDelay is the delay after a failed call to the directory.
+	directoryRetryDelay = 500 * time.Millisecond
+	// lateWriteTime is how long after a member's start the directory may still change by
+	// writes of its former process, which the store executes late.
+	lateWriteTime = 10 * time.Second
+	// directoryCheckInterval is the time between checks whether a read is due.
+	directoryCheckInterval = 500 * time.Millisecond
+	// firstEpochStep is by how much, in milliseconds, the epoch of the directory writes is
+	// raised after the store has seen a greater one. It doubles with each further failure.
+	firstEpochStep  = uint64(1000)
+	maxEpochDoubles = 30
+)
+
+// directorySync is the state of this daemon's record in the directory and of its reads.
+// It is used by one goroutine.
+type directorySync struct {
+	// listed is true once the store has acknowledged this daemon's record, until a read
+	// shows that the record is missing.
+	listed bool
+	// readAt is when the directory was last read; zero: not since the record was written.
+	readAt time.Time
+	// fencedWrites is the number of writes in a row that the store has fenced off.
+	fencedWrites int
+}
+
+// readDue reports whether the directory has to be read. A daemon reads it after it has
+// written its record, since of two daemons that start at the same time only the later one
+// finds the other, and again lateWriteTime after the last start of a member and at
+// intervals if it reads the store for its zone.
+func (s *directorySync) readDue(now, lastStart time.Time, readsStore bool) bool {
+	switch {
+	case s.readAt.IsZero():
+		return true
+	case !readsStore:
+		return false
+	}
+	settled := lastStart.Add(lateWriteTime)
+	return now.Sub(s.readAt) >= directoryInterval || s.readAt.Before(settled) && !now.Before(settled)
+}
+
+// epochStep returns by how much the epoch is raised after a write was fenced off: the
+// store has seen a greater epoch if the host's clock was stepped back between two starts.
+func (s *directorySync) epochStep() uint64 {
+	return firstEpochStep << min(s.fencedWrites, maxEpochDoubles)
+}
+
+// syncDirectory keeps this daemon's record in the directory and reads the other members
+// from it, until the agent stops.
+func (a *Agent) syncDirectory() {
+	var s directorySync
+	for a.ctx.Err() == nil {
+		wait := directoryCheckInterval
+		if !s.listed && !a.leaving.Load() {
+			if s.listed = a.register(&s); s.listed {
+				s.readAt = time.Time{}
+			} else {
+				wait = directoryRetryDelay
+			}
+		}
+		readsStore := wire.TablesSource(a.tables.source.Load()) == wire.SourceStore
+		if s.readDue(time.Now(), a.fleet.lastMemberStart(), readsStore) {
+			if a.readDirectory(&s) {
+				s.readAt = time.Now()
+			} else {
+				wait = directoryRetryDelay
+			}
+		}
+		a.pauseDirectory(&s, wait)
+	}
+}
+
+// pauseDirectory waits, or until a member has found that the directory lacks this daemon.
+func (a *Agent) pauseDirectory(s *directorySync, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-a.ctx.Done():
+	case <-timer.C:
+	case <-a.unlisted:
+		s.readAt = time.Time{}
+	}
+}
+
+// register writes this daemon's record. A write whose outcome is unknown is repeated with
+// the same epoch, which the store executes at most once.
+func (a *Agent) register(s *directorySync) bool {
+	ctx, cancel := a.storeContext()
+	defer cancel()
+	err := a.deps.Store.Register(ctx, DirectoryEntry{Member: a.cfg.Member, Peer: a.cfg.Listen.Peer.String(), Zone: a.cfg.Zone}, a.directoryEpoch.Load())
+	if err == nil {
+		s.fencedWrites = 0
+		return true
+	}
+	if errors.Is(err, ErrFenced) {
+		a.directoryEpoch.Add(s.epochStep())
+		s.fencedWrites++
+	}
+	logging.WarningEvent("directory", "not-announced", "member", a.cfg.Member, "error", err)
+	return false
+}
+
+// readDirectory adds the listed members to the fleet. It tells live members that are not
+// listed, and notes whether this daemon is.
+func (a *Agent) readDirectory(s *directorySync) bool {
+	ctx, cancel := a.storeContext()
+	defer cancel()
+	entries, err := a.deps.Store.Daemons(ctx)
+	if err != nil {
+		logging.WarningEvent("directory", "not-read", "error", err)
+		return false
+	}
+	anyNew := false
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		anyNew = a.fleet.addListed(time.Now(), entry) || anyNew
+		listed[entry.Member] = entry.Member != a.cfg.Member || entry.Peer == a.cfg.Listen.Peer.String()
+	}
+	a.fleet.markDirectoryRead()
+	if s.listed && !listed[a.cfg.Member] && !a.leaving.Load() {
+		logging.WarningEvent("directory", "record-missing", "member", a.cfg.Member)
+		s.listed = false
+		a.directoryEpoch.Add(1)
+	}
+	for _, address := range a.fleet.liveUnlisted(time.Now(), listed) {
+		a.send(address, wire.Unlisted{})
+	}
+	if anyNew {
+		a.broadcast(0)
+	}
+	return true
+}
+
+// unregister removes this daemon from the directory. Its epoch fences off the writes of
+// this process that are still pending, and it is itself fenced off once the next process
+// of this member has written its record.
+func (a *Agent) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := a.deps.Store.Unregister(ctx, a.cfg.Member, a.directoryEpoch.Add(1)); err != nil {
+		logging.WarningEvent("directory", "not-withdrawn", "member", a.cfg.Member, "error", err)
+	}
+}
+
+// liveUnlisted returns the addresses of live members that the directory lacks.
+func (f *fleet) liveUnlisted(now time.Time, listed map[string]bool) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, m := range f.members {
+		if !m.self && m.live(now) && !listed[m.name] {
+			list = append(list, m.address)
+		}
+	}
+	return list
+}
+
+// lastMemberStart returns when a member was last seen to have started; zero: never.
+func (f *fleet) lastMemberStart() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.memberStartedAt
+}
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -41,6 +41,9 @@
 	lastStatusAt     time.Time                  // when the last status arrived; zero: never
 	unreachableUntil time.Time                  // no new attempts until then
 	usable           bool                       // result of acceptsAttempts at the last refresh
+	// digestDiffersSince is when the digest in the status began to show members that this
+	// daemon lacks; zero: it shows none.
+	digestDiffersSince time.Time
 }
 
 // memberAddress is the daemon beside an upstream, as attempts are addressed to it.
@@ -61,6 +64,9 @@
 	started time.Time
 	// directoryReadAt is when the directory was first read; zero: never.
 	directoryReadAt time.Time
+	// memberStartedAt is when a new start of a member was last seen; zero: never.
+	memberStartedAt time.Time
+	membersAskedAt  time.Time // when another daemon's list of members was last asked for
 	members         map[string]*member
 	placements      map[string]*placement.Table // by service
 	memberByServer  map[string]string           // member name by backend server id
@@ -89,9 +95,10 @@
 	}
 }
 
-// addListed adds a member from the directory. It returns true if the member was not
-// known. The address in a member's status takes precedence over the directory's.
-func (f *fleet) addListed(entry DirectoryEntry) bool {
+// addListed adds a member from the directory or from another daemon's list. It returns
+// true if the member or its address was not known. The address in a status takes
+// precedence while the member sends statuses.
+func (f *fleet) addListed(now time.Time, entry DirectoryEntry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[entry.Member]
@@ -99,10 +106,11 @@
 		f.members[entry.Member] = &member{name: entry.Member, address: entry.Peer, self: entry.Member == f.self}
 		return entry.Member != f.self
 	}
-	if m.lastStatusAt.IsZero() {
-		m.address = entry.Peer
+	if m.self || m.address == entry.Peer || now.Sub(m.lastStatusAt) <= statusTimeout {
+		return false
 	}
-	return false
+	m.address = entry.Peer
+	return true
 }
 
 // markDirectoryRead records that the directory has been read.
@@ -182,6 +190,9 @@
 		return false
 	}
 	replyNeeded = silent || s.Incarnation != m.status.Incarnation
+	if s.Incarnation != m.status.Incarnation {
+		f.memberStartedAt = now
+	}
 	former := m.status
 	m.status, m.address, m.lastStatusAt, m.unreachableUntil = *s, s.Address, now, time.Time{}
 	if !m.self {
--- a/internal/process/agent/fleet_test.go
+++ b/internal/process/agent/fleet_test.go
@@ -31,7 +31,7 @@
 			f.applyStatus(now, zoneStatus(zone, n, 1))
 		}
 	}
-	f.addListed(DirectoryEntry{Member: "new", Peer: "new"})
+	f.addListed(now, DirectoryEntry{Member: "new", Peer: "new"})
 	direct, relays := f.statusRecipients(now, true)
 	g.Expect(direct).To(HaveLen(members-1+1), "the members of the same zone, and the one that has sent no status")
 	g.Expect(direct).To(ContainElement("new"))
@@ -90,7 +90,7 @@
 	limit := rateshare.Limit{Rate: 168, Burst: 168}
 	f := newFleet("a-0", "a", 1, rateshare.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
 	for n := range members {
-		f.addListed(DirectoryEntry{Member: fmt.Sprint("a-", n), Peer: fmt.Sprint("a-", n), Zone: "a"})
+		f.addListed(f.started, DirectoryEntry{Member: fmt.Sprint("a-", n), Peer: fmt.Sprint("a-", n), Zone: "a"})
 	}
 	admitted := 0
 	for range 200 {
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -19,6 +19,10 @@
 // the newest state has to be read instead.
 var ErrHistoryLost = errors.New("the store no longer holds these records; read the newest state")
 
+// ErrFenced means that a write to the directory was rejected, since the store has seen
+// one for the same member with a greater epoch.
+var ErrFenced = errors.New("the store has seen a newer write for this member; write with a greater epoch")
+
 // Publication is the newest published version of the tables.
 type Publication struct {
 	// Content is nil if nothing, or nothing readable, was published.
@@ -45,10 +49,13 @@
 	Next(ctx context.Context, from Offset, wait time.Duration) (Publication, error)
 	// Daemons reads the directory of daemons.
 	Daemons(ctx context.Context) ([]DirectoryEntry, error)
-	// Register adds this daemon to the directory or replaces its entry.
-	Register(ctx context.Context, entry DirectoryEntry) error
-	// Unregister removes a member from the directory.
-	Unregister(ctx context.Context, member string) error
+	// Register adds this daemon to the directory or replaces its entry. The error wraps
+	// ErrFenced if the store has seen a write for the member with a greater epoch. A write
+	// that is repeated with its epoch is executed at most once, and the store executes
+	// none late once it has executed one with a greater epoch.
+	Register(ctx context.Context, entry DirectoryEntry, epoch uint64) error
+	// Unregister removes a member from the directory. The epoch is as for Register.
+	Unregister(ctx context.Context, member string, epoch uint64) error
 }
 
 // CallerFields holds the header fields of a caller's request that are meant for the
--- a/internal/process/agent/status.go
+++ b/internal/process/agent/status.go
@@ -13,7 +13,10 @@
 
 // sendStatuses broadcasts this daemon's status at intervals until the agent stops.
 func (a *Agent) sendStatuses() {
-	send := func() { a.broadcast(statusInterval) }
+	send := func() {
+		a.broadcast(statusInterval)
+		a.askForMembers()
+	}
 	send()
 	runEvery(a.ctx, statusInterval, send)
 }
@@ -50,6 +53,16 @@
 	}
 }
 
+// send sends a message in a datagram of its own.
+func (a *Agent) send(address string, message wire.Message) {
+	frame, err := wire.Encode(message)
+	if err != nil {
+		logging.ErrorEvent("status", "not-encoded", err)
+		return
+	}
+	a.sendTo(address, frame)
+}
+
 func (a *Agent) sendTo(address string, frame []byte) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -78,6 +91,7 @@
 	a.lastStatus.Leaving = a.leaving.Load()
 	a.lastStatus.Server, a.lastStatus.Service, a.lastStatus.State = view.Server, view.Service, view.State
 	a.lastStatus.TablesVersion = catalogVersion(a.tables.catalog())
+	a.lastStatus.Members = a.fleet.membersDigest(now)
 	a.lastStatus.TablesSource = wire.TablesSource(a.tables.source.Load())
 	status := a.lastStatus
 	return &status
@@ -101,21 +115,35 @@
 			message, err = wire.Decode(relay.Frame)
 			a.forwardStatus(message, relay.Frame)
 		}
-		status, ok := message.(*wire.Status)
-		if err != nil || !ok {
+		switch m := message.(type) {
+		case *wire.Status:
+			a.onStatus(m)
+		case *wire.MembersRequest:
+			a.sendMembers(m.Address)
+		case *wire.MembersReply:
+			a.addMembers(m.Members)
+		case *wire.Unlisted:
+			select {
+			case a.unlisted <- struct{}{}:
+			default: // already noted
+			}
+		default:
 			logging.WarningEvent("status", "unreadable", "error", err, "bytes", n)
-			continue
-		}
-		if status.Member == a.cfg.Member {
-			continue
 		}
-		if a.fleet.applyStatus(time.Now(), status) && !a.leaving.Load() {
-			a.replyStatus(status.Address)
-		}
-		a.tables.reportedVersion(catalog.Version(status.TablesVersion))
 	}
 }
 
+// onStatus processes a member's status.
+func (a *Agent) onStatus(status *wire.Status) {
+	if status.Member == a.cfg.Member {
+		return
+	}
+	if a.fleet.applyStatus(time.Now(), status) && !a.leaving.Load() {
+		a.send(status.Address, a.status(0)) // the member may not have it
+	}
+	a.tables.reportedVersion(catalog.Version(status.TablesVersion))
+}
+
 // forwardStatus sends a relayed status from another availability zone to the other
 // members of this zone.
 func (a *Agent) forwardStatus(message wire.Message, frame []byte) {
@@ -127,59 +155,3 @@
 		a.sendTo(address, frame)
 	}
 }
-
-// replyStatus sends this daemon's status to a member that may not have it.
-func (a *Agent) replyStatus(address string) {
-	if frame, err := wire.Encode(a.status(0)); err == nil {
-		a.sendTo(address, frame)
-	}
-}
-
-// syncDirectory registers this daemon in the directory and reads the other members
-// from it, until the agent stops.
-func (a *Agent) syncDirectory() {
-	registered, read := false, false
-	for a.ctx.Err() == nil {
-		if !registered {
-			registered = a.register()
-		}
-		wait := directoryInterval
-		if read && wire.TablesSource(a.tables.source.Load()) == wire.SourcePeers {
-			pause(a.ctx, wait) // the readers of the zones read the directory again
-			continue
-		}
-		if read = a.readDirectory(); !read || !registered {
-			wait = directoryRetryDelay
-		}
-		pause(a.ctx, wait)
-	}
-}
-
-func (a *Agent) register() bool {
-	ctx, cancel := a.storeContext()
-	defer cancel()
-	err := a.deps.Store.Register(ctx, DirectoryEntry{Member: a.cfg.Member, Peer: a.cfg.Listen.Peer.String(), Zone: a.cfg.Zone})
-	if err != nil {
-		logging.WarningEvent("directory", "not-announced", "member", a.cfg.Member, "error", err)
-	}
-	return err == nil
-}
-
-func (a *Agent) readDirectory() bool {
-	ctx, cancel := a.storeContext()
-	defer cancel()
-	entries, err := a.deps.Store.Daemons(ctx)
-	if err != nil {
-		logging.WarningEvent("directory", "not-read", "error", err)
-		return false
-	}
-	anyNew := false
-	for _, entry := range entries {
-		anyNew = a.fleet.addListed(entry) || anyNew
-	}
-	a.fleet.markDirectoryRead()
-	if anyNew {
-		a.broadcast(0)
-	}
-	return true
-}
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -40,7 +40,12 @@
 // accepts reports whether a request that arrives at now is still served. Calls made by
 // the local backend server belong to runs in progress and are always served.
 func (s stopSchedule) accepts(now time.Time, fromCaller bool) bool {
-	return !fromCaller || now.Sub(s.begun) < time.Duration(acceptShare*float64(s.grace))
+	return !fromCaller || now.Before(s.acceptsUntil())
+}
+
+// acceptsUntil returns the time from which callers' requests are refused.
+func (s stopSchedule) acceptsUntil() time.Time {
+	return s.begun.Add(time.Duration(acceptShare * float64(s.grace)))
 }
 
 // acceptsCall reports whether a call of a run in progress that arrives at now and expires
@@ -72,6 +77,9 @@
 	unregistered := make(chan struct{})
 	go func() {
 		defer close(unregistered)
+		// A daemon that starts now has to know of this one, which still takes its share of
+		// the workspaces' rates.
+		pause(ctx, time.Until(schedule.acceptsUntil()))
 		a.unregister(ctx)
 	}()
 	pause(ctx, lameDuckTime)
@@ -127,12 +135,3 @@
 	logging.WarningEvent("agent", "stop-not-drained", "accepted", a.entry.accepted.Load(), "runs", a.executor.inProgress(),
 		"oldest_run", requestID, "oldest_ms", oldest.Milliseconds())
 }
-
-// unregister removes this daemon from the directory.
-func (a *Agent) unregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := a.deps.Store.Unregister(ctx, a.cfg.Member); err != nil {
-		logging.WarningEvent("directory", "not-withdrawn", "member", a.cfg.Member, "error", err)
-	}
-}
