agent: a status fits into a datagram, whatever is in use

Cause: a status named every route and importance with recent requests, and receivers read 16 KiB of it; what is cut off can't be decoded, and its sender counts as gone. Change: a status has at most 15 KiB; what matters least is left out and counted.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -58,8 +58,9 @@
 	idleLinkPingInterval = 3 * time.Second
 	// callerPortName is the name of the port for callers in the settings (listen.caller).
 	callerPortName = "caller"
-	// maxDatagramBytes is the size of the receive buffer for status datagrams, in bytes.
-	maxDatagramBytes = 16 << 10
+	// maxDatagramBytes is the size of the receive buffer for datagrams, the greatest that
+	// UDP allows.
+	maxDatagramBytes = 64 << 10
 )
 
 // Config holds the settings of an agent.
@@ -118,6 +119,7 @@
 	statusNumber   uint64
 	lastStatus     wire.Status // the last one sent; its rates are repeated until an interval ends
 	leaving        atomic.Bool
+	statusLeftOut  atomic.Int64 // entries that the last status was too long for
 	// directoryEpoch is the epoch of this daemon's next write to the directory.
 	directoryEpoch atomic.Uint64
 	// unlisted has an element if a member has found that the directory lacks this daemon.
@@ -206,6 +208,7 @@
 		{"tarragon_tables_parked_questions", "Questions of peers that wait for this daemon's next confirmation.", func() float64 { return float64(a.tables.parkedQuestions()) }},
 		{"tarragon_members_usable", "Members whose backend servers accept attempts.", a.fleet.usableMembers},
 		{"tarragon_members_live", "Members, this one included, that take part in the fleet.", func() float64 { return float64(a.fleet.membersDigest(time.Now()).Count) }},
+		{"tarragon_status_left_out", "Entries of arrivals, runs and usage for which the last status was too long.", func() float64 { return float64(a.statusLeftOut.Load()) }},
 		{"tarragon_runs", "Attempts running or queued at this host.", func() float64 { return float64(a.executor.inProgress()) }},
 		{"tarragon_in_flight", "Requests from callers and from the backend server that this daemon is handling.", func() float64 { return float64(a.entry.inFlight.Load()) }},
 		{"tarragon_least_share", "Smallest share that the shedding plan admits of the requests of a route and importance.", a.fleet.leastShare},
--- a/internal/process/agent/status.go
+++ b/internal/process/agent/status.go
@@ -31,11 +31,14 @@
 	}
 	status := a.status(interval)
 	a.fleet.applyStatus(time.Now(), status)
-	frame, err := wire.Encode(status)
+	frame, leftOut, err := encodeStatus(status)
 	if err != nil {
 		logging.ErrorEvent("status", "not-encoded", err)
 		return
 	}
+	if former := a.statusLeftOut.Swap(int64(leftOut)); leftOut > 0 && former == 0 {
+		logging.WarningEvent("status", "shortened", "left_out", leftOut, "arrivals", len(status.Arrivals), "workspaces", len(status.Usage))
+	}
 	direct, relays := a.fleet.statusRecipients(time.Now(), interval > 0)
 	for _, address := range direct {
 		a.sendTo(address, frame)
@@ -53,6 +56,13 @@
 	}
 }
 
+// replyStatus sends this daemon's status to a member that may not have it.
+func (a *Agent) replyStatus(address string) {
+	if frame, _, err := encodeStatus(a.status(0)); err == nil { // broadcast logs the error
+		a.sendTo(address, frame)
+	}
+}
+
 // send sends a message in a datagram of its own.
 func (a *Agent) send(address string, message wire.Message) {
 	frame, err := wire.Encode(message)
@@ -139,7 +149,7 @@
 		return
 	}
 	if a.fleet.applyStatus(time.Now(), status) && !a.leaving.Load() {
-		a.send(status.Address, a.status(0)) // the member may not have it
+		a.replyStatus(status.Address)
 	}
 	a.tables.reportedVersion(catalog.Version(status.TablesVersion))
 }
