agent: a stop with a short grace time answers what it has accepted

With a grace time of 3 s, the least that the settings allow, a stop waited 2.3 s for callers to move, and its time was over after 2.2 s: nothing was drained and the port was closed with a context that had ended (found by reading, TestStopLeavesTimeToAnswer). The wait now ends with the time in which callers' requests are accepted, and calls are accepted at least as long. A reader also tells a member that the directory lists with a former address.

--- a/internal/process/agent/directory.go
+++ b/internal/process/agent/directory.go
@@ -126,13 +126,13 @@
 		return false
 	}
 	anyNew := false
-	listed := make(map[string]bool, len(entries))
+	listed := make(map[string]string, len(entries)) // address by member
 	for _, entry := range entries {
 		anyNew = a.fleet.addListed(time.Now(), entry) || anyNew
-		listed[entry.Member] = entry.Member != a.cfg.Member || entry.Peer == a.cfg.Listen.Peer.String()
+		listed[entry.Member] = entry.Peer
 	}
 	a.fleet.markDirectoryRead()
-	if s.listed && !listed[a.cfg.Member] && !a.leaving.Load() {
+	if s.listed && listed[a.cfg.Member] != a.cfg.Listen.Peer.String() && !a.leaving.Load() {
 		logging.WarningEvent("directory", "record-missing", "member", a.cfg.Member)
 		s.listed = false
 		a.directoryEpoch.Add(1)
@@ -157,13 +157,14 @@
 	}
 }
 
-// liveUnlisted returns the addresses of live members that the directory lacks.
-func (f *fleet) liveUnlisted(now time.Time, listed map[string]bool) []string {
+// liveUnlisted returns the addresses of live members that the directory lacks or lists
+// with another address.
+func (f *fleet) liveUnlisted(now time.Time, listed map[string]string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []string
 	for _, m := range f.members {
-		if !m.self && m.live(now) && !listed[m.name] {
+		if !m.self && m.live(now) && listed[m.name] != m.address {
 			list = append(list, m.address)
 		}
 	}
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -9,7 +9,8 @@
 
 const (
 	// lameDuckTime is how long a stopping daemon keeps serving while its readiness
-	// check fails, so that callers move to other daemons.
+	// check fails, so that callers move to other daemons. With a short grace time, it ends
+	// with the time in which their requests are accepted.
 	lameDuckTime = 2300 * time.Millisecond
 	// acceptShare is the fraction of the grace time in which callers' requests are
 	// still accepted. Some callers do not move, and what is accepted must finish before
@@ -43,6 +44,11 @@
 	return !fromCaller || now.Before(s.acceptsUntil())
 }
 
+// lameDuckUntil returns the time from which the daemon ends once nothing is in progress.
+func (s stopSchedule) lameDuckUntil() time.Time {
+	return s.begun.Add(min(lameDuckTime, s.acceptsUntil().Sub(s.begun)))
+}
+
 // acceptsUntil returns the time from which callers' requests are refused.
 func (s stopSchedule) acceptsUntil() time.Time {
 	return s.begun.Add(time.Duration(acceptShare * float64(s.grace)))
@@ -51,7 +57,7 @@
 // acceptsCall reports whether a call of a run in progress that arrives at now and expires
 // at deadline will have been answered when the process exits.
 func (s stopSchedule) acceptsCall(now, deadline time.Time) bool {
-	return now.Before(s.withdrawal().Add(-callFinishTime)) || deadline.Before(s.withdrawal())
+	return s.accepts(now, true) || now.Before(s.withdrawal().Add(-callFinishTime)) || deadline.Before(s.withdrawal())
 }
 
 // withdrawal returns the time at which attempts that wait in queues are withdrawn.
@@ -82,7 +88,7 @@
 		pause(ctx, time.Until(schedule.acceptsUntil()))
 		a.unregister(ctx)
 	}()
-	pause(ctx, lameDuckTime)
+	pause(ctx, time.Until(schedule.lameDuckUntil()))
 	a.drain(ctx, schedule)
 	a.entry.closing.Store(true)
 	a.dispatcher.withdraw()
--- a/internal/process/agent/stop_test.go
+++ b/internal/process/agent/stop_test.go
@@ -39,3 +39,15 @@
 	g.Expect(stop.acceptsCall(late.Add(callFinishTime/2), stop.withdrawal().Add(-time.Millisecond))).To(BeTrue(), "it expires in time")
 	g.Expect(stop.withdrawal()).To(BeTemporally("<", stop.deadline()))
 }
+
+// Guards against a stop that has no time left to answer what it has accepted: with a grace
+// time of 3 s, the least that the settings allow, it waited for callers to move until its end.
+func TestStopLeavesTimeToAnswer(t *testing.T) {
+	g := NewWithT(t)
+	for grace := 3 * time.Second; grace <= 20*time.Second; grace += 100 * time.Millisecond {
+		stop := stopSchedule{begun: time.Now(), grace: grace}
+		g.Expect(stop.lameDuckUntil()).To(BeTemporally("<=", stop.acceptsUntil()))
+		g.Expect(stop.acceptsUntil()).To(BeTemporally("<", stop.withdrawal().Add(-idleTime)), grace.String())
+		g.Expect(stop.acceptsCall(stop.acceptsUntil().Add(-1), stop.begun.Add(grace))).To(BeTrue(), "calls of runs that were just accepted")
+	}
+}
