--- a/internal/process/agent/directory.go
+++ b/internal/process/agent/directory.go
@@ -22,9 +22,10 @@
 	// directoryCheckInterval is the time between checks whether a read is due.
 	directoryCheckInterval = 500 * time.Millisecond
 	// firstEpochStep is by how much, in milliseconds, the epoch of the directory writes is
-	// raised after the store has seen a greater one. It doubles with each further failure.
-	firstEpochStep  = uint64(1000)
-	maxEpochDoubles = 30
+	// raised after the store has seen a greater one. It doubles with each further failure,
+	// at most maxEpochDoublings times.
+	firstEpochStep    = uint64(1000)
+	maxEpochDoublings = 30
 )
 
 // directorySync is the state of this daemon's record in the directory and of its reads.
@@ -57,7 +58,7 @@
 // epochStep returns by how much the epoch is raised after a write was fenced off: the
 // store has seen a greater epoch if the host's clock was stepped back between two starts.
 func (s *directorySync) epochStep() uint64 {
-	return firstEpochStep << min(s.fencedWrites, maxEpochDoubles)
+	return firstEpochStep << min(s.fencedWrites, maxEpochDoublings)
 }
 
 // syncDirectory keeps this daemon's record in the directory and reads the other members
@@ -85,7 +86,7 @@
 	}
 }
 
-// pauseDirectory waits, or until a member has found that the directory lacks this daemon.
+// pauseDirectory waits for a time or until a member has found that the directory lacks this daemon.
 func (a *Agent) pauseDirectory(s *directorySync, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
