--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -80,17 +80,20 @@
 	a.executor.drain()
 	a.broadcast(0)
 	a.tables.answerParked() // the askers turn to the zone's next reader
+	accepting, endAccepting := context.WithDeadline(ctx, schedule.acceptsUntil())
+	defer endAccepting()
 	unregistered := make(chan struct{})
 	go func() {
 		defer close(unregistered)
-		// A daemon that starts now has to know of this one, which still takes its share of
-		// the workspaces' rates.
-		pause(ctx, time.Until(schedule.acceptsUntil()))
+		// Until then, a daemon that starts has to know of this one, which takes its share
+		// of the workspaces' rates.
+		<-accepting.Done()
 		a.unregister(ctx)
 	}()
 	pause(ctx, time.Until(schedule.lameDuckUntil()))
 	a.drain(ctx, schedule)
 	a.entry.closing.Store(true)
+	endAccepting()
 	a.dispatcher.withdraw()
 	a.executor.withdrawQueued()
 	a.stopCallerPort(ctx)
