--- a/internal/process/agent/directory.go
+++ b/internal/process/agent/directory.go
@@ -14,13 +14,12 @@
 	// read the store for their zone. It can be long, since members that start later make
 	// themselves known by sending a status.
 	directoryInterval = time.Minute
-	// directoryRetryDelay is the delay after a failed call to the directory.
-	directoryRetryDelay = 500 * time.Millisecond
+	// directoryCheckInterval is the time between checks whether a call to the directory is
+	// due, which a call that has failed is.
+	directoryCheckInterval = 500 * time.Millisecond
 	// lateWriteTime is how long after a member's start the directory may still change by
 	// writes of its former process, which the store executes late.
 	lateWriteTime = 10 * time.Second
-	// directoryCheckInterval is the time between checks whether a read is due.
-	directoryCheckInterval = 500 * time.Millisecond
 	// firstEpochStep is by how much, in milliseconds, the epoch of the directory writes is
 	// raised after the store has seen a greater one. It doubles with each further failure,
 	// at most maxEpochDoublings times.
@@ -66,35 +65,19 @@
 func (a *Agent) syncDirectory() {
 	var s directorySync
 	for a.ctx.Err() == nil {
-		wait := directoryCheckInterval
-		if !s.listed && !a.leaving.Load() {
-			if s.listed = a.register(&s); s.listed {
-				s.readAt = time.Time{}
-			} else {
-				wait = directoryRetryDelay
-			}
+		if !s.listed && !a.leaving.Load() && a.register(&s) {
+			s.listed, s.readAt = true, time.Time{}
 		}
 		readsStore := wire.TablesSource(a.tables.source.Load()) == wire.SourceStore
-		if s.readDue(time.Now(), a.fleet.lastMemberStart(), readsStore) {
-			if a.readDirectory(&s) {
-				s.readAt = time.Now()
-			} else {
-				wait = directoryRetryDelay
-			}
+		if s.readDue(time.Now(), a.fleet.lastMemberStart(), readsStore) && a.readDirectory(&s) {
+			s.readAt = time.Now()
+		}
+		select {
+		case <-a.ctx.Done():
+		case <-time.After(directoryCheckInterval):
+		case <-a.unlisted:
+			s.readAt = time.Time{}
 		}
-		a.pauseDirectory(&s, wait)
-	}
-}
-
-// pauseDirectory waits for a time or until a member has found that the directory lacks this daemon.
-func (a *Agent) pauseDirectory(s *directorySync, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-a.ctx.Done():
-	case <-timer.C:
-	case <-a.unlisted:
-		s.readAt = time.Time{}
 	}
 }
 
@@ -126,12 +109,11 @@
 		logging.WarningEvent("directory", "not-read", "error", err)
 		return false
 	}
-	anyNew := false
 	listed := make(map[string]string, len(entries)) // address by member
 	for _, entry := range entries {
-		anyNew = a.fleet.addListed(time.Now(), entry) || anyNew
 		listed[entry.Member] = entry.Peer
 	}
+	a.addListed(entries)
 	a.fleet.markDirectoryRead()
 	if s.listed && listed[a.cfg.Member] != a.cfg.Listen.Peer.String() && !a.leaving.Load() {
 		logging.WarningEvent("directory", "record-missing", "member", a.cfg.Member)
@@ -141,10 +123,22 @@
 	for _, address := range a.fleet.liveUnlisted(time.Now(), listed) {
 		a.send(address, wire.Unlisted{})
 	}
-	if anyNew {
+	return true
+}
+
+// addListed adds members to the fleet and makes this daemon known to those that were not
+// known, which it returns.
+func (a *Agent) addListed(entries []DirectoryEntry) (added []DirectoryEntry) {
+	now := time.Now()
+	for _, entry := range entries {
+		if a.fleet.addListed(now, entry) {
+			added = append(added, entry)
+		}
+	}
+	if len(added) > 0 {
 		a.broadcast(0)
 	}
-	return true
+	return added
 }
 
 // unregister removes this daemon from the directory. Its epoch fences off the writes of
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -55,9 +55,8 @@
 
 // pendingAttempt is an attempt whose answer has not arrived.
 type pendingAttempt struct {
-	done   chan attemptResult // buffered
-	link   uint64             // number of the link it was sent on; 0 for the local executor
-	sentOn peer.Link          // nil for the local executor
+	done chan attemptResult // buffered
+	link peer.Link          // that it was sent on; nil for the local executor
 }
 
 // dispatcher sends attempts to executing daemons and waits for their answers.
@@ -71,7 +70,8 @@
 	// retryLimit bounds the retries that arrive at a service, summed over all levels
 	// of the call chain, as a fraction of its requests.
 	retryLimit float64
-	// stopping is true at the end of a graceful stop, when no attempt is sent any more.
+	// stopping is true at the end of a graceful stop, when no attempt is sent any more and
+	// every new request is refused.
 	stopping atomic.Bool
 
 	mu        sync.Mutex
@@ -270,7 +270,7 @@
 		d.fleet.markUnreachable(time.Now(), member.name)
 		return notSent("no link to " + member.name + ": " + err.Error())
 	}
-	p.link, p.sentOn = link.Number(), link
+	p.link = link
 	d.addPending(message.ID, p)
 	if err := link.Send(message); err != nil {
 		d.removePending(message.ID)
@@ -322,8 +322,8 @@
 	links := map[wire.AttemptID]peer.Link{}
 	d.mu.Lock()
 	for id, p := range d.pending {
-		if p.sentOn != nil {
-			links[id] = p.sentOn
+		if p.link != nil {
+			links[id] = p.link
 		}
 	}
 	d.mu.Unlock()
@@ -358,7 +358,7 @@
 	var affected []*pendingAttempt
 	d.mu.Lock()
 	for id, p := range d.pending {
-		if p.link == number {
+		if p.link != nil && p.link.Number() == number {
 			affected = append(affected, p)
 			delete(d.pending, id)
 		}
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -68,8 +68,6 @@
 	log        *requestLog
 	// stopping is nil until a graceful stop begins.
 	stopping atomic.Pointer[stopSchedule]
-	// closing is true from the end of a graceful stop, when every new request is refused.
-	closing  atomic.Bool
 	inFlight atomic.Int64
 	// accepted is the number of requests in flight that were not refused on arrival.
 	accepted atomic.Int64
@@ -135,27 +133,29 @@
 	if refusal := e.admit(req, c); refusal != nil {
 		return nil, refusal
 	}
-	request, refusal := caller.ReadRequest(r, bodyLimit(c))
-	if refusal == nil {
-		refusal = e.checkStop(req) // the body may have taken long
+	response, refusal := e.forward(r, req, c)
+	if req.workspace != "" && refusal != nil && refusal.Executed == problem.ExecutedNo {
+		e.fleet.returnToken(req.workspace)
 	}
+	return response, refusal
+}
+
+// forward reads the body of an admitted request and dispatches the request.
+func (e *entryHandler) forward(r *http.Request, req *inboundRequest, c *catalog.Catalog) (*wire.Response, *problem.Problem) {
+	request, refusal := caller.ReadRequest(r, bodyLimit(c))
 	if refusal != nil {
-		if req.workspace != "" {
-			e.fleet.returnToken(req.workspace)
-		}
+		return nil, refusal
+	}
+	if refusal := e.checkStop(req); refusal != nil { // the body may have taken long
 		return nil, refusal
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(answerGrace))
 	defer cancel()
-	response, refusal := e.dispatcher.dispatch(ctx, &call{
+	return e.dispatcher.dispatch(ctx, &call{
 		requestID: req.fields.RequestID, route: req.route.Name, service: e.chooseService(req.route, c.Version()), origin: e.originService(),
 		workspace: req.workspace, importance: req.importance, idempotent: req.route.Idempotent, attempts: req.route.MaxAttempts,
 		deadline: req.deadline, request: request,
 	})
-	if req.workspace != "" && refusal != nil && refusal.Executed == problem.ExecutedNo {
-		e.fleet.returnToken(req.workspace)
-	}
-	return response, refusal
 }
 
 func bodyLimit(c *catalog.Catalog) int64 {
@@ -283,7 +283,7 @@
 	}
 	now := time.Now()
 	fromCaller := req.workspace != "" || !req.ofRun && !e.executor.mayHaveMadeCall(req.statedDeadline())
-	if e.closing.Load() || !stop.accepts(now, fromCaller) || !fromCaller && !stop.acceptsCall(now, req.deadline) {
+	if e.dispatcher.stopping.Load() || !stop.accepts(now, fromCaller) || !fromCaller && !stop.acceptsCall(now, req.deadline) {
 		return problem.New(problem.KindDraining, "the daemon is stopping").WithRetryAfter(staleRetryAfter)
 	}
 	return nil
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -347,10 +347,10 @@
 }
 
 // withdrawQueued refuses all attempts that have not started as not executed.
-func (e *executor) withdrawQueued() {
+func (e *executor) withdrawQueued(detail string) {
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
 		for id := range e.runs {
-			e.withdrawLocked(id, "the daemon is stopping", out)
+			e.withdrawLocked(id, detail, out)
 		}
 		return runqueue.Actions{}
 	})
@@ -396,15 +396,9 @@
 
 // refuseQueued refuses the attempts that are still queued at a server that is draining.
 func (e *executor) refuseQueued() {
-	if e.server.view(time.Now()).State != wire.ServerDraining {
-		return
+	if e.server.view(time.Now()).State == wire.ServerDraining {
+		e.withdrawQueued("the backend server is draining")
 	}
-	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
-		for id := range e.runs {
-			e.withdrawLocked(id, "the backend server is draining", out)
-		}
-		return runqueue.Actions{}
-	})
 }
 
 // drain refuses new attempts from now on, since the daemon is stopping.
--- a/internal/process/agent/members_sync.go
+++ b/internal/process/agent/members_sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,7 +76,7 @@
 	return candidates[f.rng.IntN(len(candidates))]
 }
 
-// liveMembers returns the live members, ordered by name.
+// liveMembers returns the live members.
 func (f *fleet) liveMembers(now time.Time) []wire.MemberAddress {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -87,7 +86,6 @@
 			list = append(list, wire.MemberAddress{Name: m.name, Address: m.address, Zone: m.status.Zone})
 		}
 	}
-	slices.SortFunc(list, func(a, b wire.MemberAddress) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
@@ -109,15 +107,11 @@
 // addMembers adds the members of another daemon's list that this one lacks, and makes
 // itself known to them.
 func (a *Agent) addMembers(list []wire.MemberAddress) {
-	anyNew := false
+	entries := make([]DirectoryEntry, 0, len(list))
 	for _, m := range list {
-		if m.Name == a.cfg.Member || !a.fleet.addListed(time.Now(), DirectoryEntry{Member: m.Name, Peer: m.Address, Zone: m.Zone}) {
-			continue
-		}
-		anyNew = true
-		logging.InfoEvent("fleet", "member-learned", "member", m.Name, "address", m.Address)
+		entries = append(entries, DirectoryEntry{Member: m.Name, Peer: m.Address, Zone: m.Zone})
 	}
-	if anyNew {
-		a.broadcast(0)
+	for _, added := range a.addListed(entries) {
+		logging.InfoEvent("fleet", "member-learned", "member", added.Member, "address", added.Peer)
 	}
 }
--- a/internal/process/agent/members_sync_test.go
+++ b/internal/process/agent/members_sync_test.go
@@ -79,5 +79,5 @@
 		raised += s.epochStep()
 		s.fencedWrites++
 	}
-	g.Expect(time.Duration(s.fencedWrites)*directoryRetryDelay).To(BeNumerically("<", 10*time.Second), fmt.Sprint(raised))
+	g.Expect(time.Duration(s.fencedWrites)*directoryCheckInterval).To(BeNumerically("<", 10*time.Second), fmt.Sprint(raised))
 }
--- a/internal/process/agent/status.go
+++ b/internal/process/agent/status.go
@@ -107,7 +107,8 @@
 	return &status
 }
 
-// receiveStatuses processes the statuses of other members until the socket is closed.
+// receiveStatuses processes the statuses of other members, and the datagrams by which
+// members learn of each other, until the socket is closed.
 func (a *Agent) receiveStatuses() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
--- a/internal/process/agent/status_size.go
+++ b/internal/process/agent/status_size.go
@@ -15,7 +15,8 @@
 	// takes its sender for gone. It leaves room for a Relay in the 16 KiB that former
 	// releases read of a datagram.
 	maxStatusBytes = 15 << 10
-	// shrinkDivisor determines how many entries are left out at a time: one in so many.
+	// shrinkDivisor determines how many entries are left out at a time: at least one in so
+	// many.
 	shrinkDivisor = 8
 )
 
@@ -35,11 +36,11 @@
 	for err == nil && len(frame) > maxStatusBytes {
 		switch {
 		case len(short.Arrivals) > 0:
-			short.Arrivals = shrink(short.Arrivals)
+			short.Arrivals = shrink(short.Arrivals, len(frame))
 		case len(short.Runs) > 0:
-			short.Runs = shrink(short.Runs)
+			short.Runs = shrink(short.Runs, len(frame))
 		case len(short.Usage) > 0:
-			short.Usage = shrink(short.Usage)
+			short.Usage = shrink(short.Usage, len(frame))
 		default:
 			return nil, 0, eris.Errorf("a status without entries has %d bytes; use shorter names, at most %d bytes fit into a datagram", len(frame), maxStatusBytes)
 		}
@@ -49,5 +50,9 @@
 	return frame, leftOut, err
 }
 
-// shrink drops the last entries of a list.
-func shrink[T any](list []T) []T { return list[:len(list)-(len(list)+shrinkDivisor-1)/shrinkDivisor] }
+// shrink drops the last entries of a list in a frame that is too long: as many as it would
+// take if the frame had no other parts, so that few frames have to be encoded.
+func shrink[T any](list []T, frameBytes int) []T {
+	left := len(list) - (len(list)+shrinkDivisor-1)/shrinkDivisor
+	return list[:min(left, len(list)*maxStatusBytes/frameBytes)]
+}
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -92,10 +92,9 @@
 	}()
 	pause(ctx, time.Until(schedule.lameDuckUntil()))
 	a.drain(ctx, schedule)
-	a.entry.closing.Store(true)
-	endAccepting()
 	a.dispatcher.withdraw()
-	a.executor.withdrawQueued()
+	a.executor.withdrawQueued("the daemon is stopping")
+	endAccepting()
 	a.stopCallerPort(ctx)
 	<-unregistered
 	a.Close()
