backend: the result of an exchange tells what its connection carried

Response and Error of the Exchanger say which connection was used, how many requests it had carried, how long it had been idle, whether it, or within 10 s another one, had carried the id before, and for which causes responses were skipped. What is delivered is unchanged. A connection is closed after 1000 requests, which bounds its set of ids: 35 KB for 1000 ids and 0.6 MB for 20,000, measured with random hashes.

Informational responses (1xx) do not count as skipped: they answer no request.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -47,6 +47,8 @@
 	// server, so that it is safe to send the request again.
 	NotExecuted bool
 	Err         error
+	// Use tells about the connection. Only Exchanger sets it.
+	Use ConnectionUse
 }
 
 // Error implements error.
--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -40,6 +40,11 @@
 	maxResponseReads = 4
 	// maxIdleConns is the maximum number of idle connections.
 	maxIdleConns = 512
+	// maxRequestsPerConn is the number of requests after which a connection is closed,
+	// which bounds the ids that are remembered of it: to about 35 KB, 18 MB for
+	// maxIdleConns. Opening a connection within the host is cheap compared with so many
+	// requests.
+	maxRequestsPerConn = 1000
 	// minConcurrentWriteBytes is the size of a body from which the request is written
 	// while the response is read, so that the response of a server that does not read
 	// the whole body is received.
@@ -75,6 +80,8 @@
 
 // Exchange is one request to a backend server.
 type Exchange struct {
+	// ID is the id of the request, by which ConnectionUse tells repeats. May be empty.
+	ID     string
 	Method string
 	Target string // path and query
 	Host   string
@@ -85,6 +92,9 @@
 	Idempotent bool
 	// Matches reports whether a response is the one to this request. nil accepts any.
 	Matches func(status int, header http.Header) bool
+	// ResponseID returns the id of the request that a response states, or "". It is used
+	// to classify skipped responses; nil leaves them unclassified.
+	ResponseID func(header http.Header) string
 }
 
 // Response is a complete response.
@@ -92,6 +102,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Use    ConnectionUse
 }
 
 // Exchanger is an HTTP/1.1 client with a connection pool for one backend server that
@@ -104,6 +115,7 @@
 	maxBody int64
 	// buffered is the size of the bodies that the exchanges in progress have read.
 	buffered atomic.Int64
+	recent   recentIDs
 
 	mu      sync.Mutex
 	address string  // of the server that the idle connections lead to
@@ -116,7 +128,10 @@
 	reader     *bufio.Reader // reads from limited
 	limited    *headLimiter
 	lastUsed   time.Time
-	reuseUntil time.Time // from the Keep-Alive field of the last response
+	reuseUntil time.Time           // from the Keep-Alive field of the last response
+	number     uint64              // unique in the process
+	carried    int                 // number of requests
+	ids        map[uint64]struct{} // hashes of their ids
 }
 
 // NewExchanger returns an exchanger that accepts response bodies of up to maxBody
@@ -149,8 +164,9 @@
 		return nil, &Error{NotExecuted: true, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	response, reusable, err := x.exchange(c, e)
-	if !stop() || err != nil || !reusable {
+	use := x.begin(c, e.ID)
+	response, reusable, err := x.exchange(c, e, &use)
+	if !stop() || err != nil || !reusable || c.carried >= maxRequestsPerConn {
 		_ = c.Close()
 	} else {
 		x.release(c, address)
@@ -159,8 +175,9 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Err: err}
+		return nil, &Error{Err: err, Use: use}
 	}
+	response.Use = use
 	return response, nil
 }
 
@@ -191,7 +208,10 @@
 		return nil, err
 	}
 	limited := &headLimiter{source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
+	return &conn{
+		Conn: raw, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited,
+		number: lastConnection.Add(1), ids: make(map[uint64]struct{}),
+	}, nil
 }
 
 // headLimiter bounds the bytes that are read from a connection while the head of a
@@ -290,8 +310,8 @@
 }
 
 // exchange writes the request and reads the response. reusable is true if another
-// request can use the connection.
-func (x *Exchanger) exchange(c *conn, e Exchange) (response *Response, reusable bool, err error) {
+// request can use the connection. Skipped responses are recorded in use.
+func (x *Exchanger) exchange(c *conn, e Exchange, use *ConnectionUse) (response *Response, reusable bool, err error) {
 	head, err := e.head()
 	if err != nil {
 		return nil, false, err
@@ -305,7 +325,7 @@
 	}
 	for range maxResponseReads {
 		var skipped bool
-		response, reusable, skipped, err = x.read(c, e.Method, e.Matches)
+		response, reusable, skipped, err = x.read(c, &e, use)
 		if skipped {
 			continue
 		}
@@ -391,9 +411,9 @@
 
 // read reads one response. skipped is true if it is informational, or to another
 // request, so that the caller has to read the next one.
-func (x *Exchanger) read(c *conn, method string, matches func(int, http.Header) bool) (result *Response, reusable, skipped bool, err error) {
+func (x *Exchanger) read(c *conn, e *Exchange, use *ConnectionUse) (result *Response, reusable, skipped bool, err error) {
 	c.limited.start()
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: e.Method})
 	c.limited.stop()
 	if err != nil {
 		return nil, false, false, err
@@ -403,7 +423,10 @@
 	if response.StatusCode < http.StatusOK {
 		return nil, false, true, nil // informational
 	}
-	unrelated := matches != nil && !matches(response.StatusCode, response.Header)
+	unrelated := e.Matches != nil && !e.Matches(response.StatusCode, response.Header)
+	if unrelated {
+		use.skip(c, e, response)
+	}
 	body, err := x.readBody(response.Body)
 	switch {
 	case err != nil:
