agent: counters and log lines that tell the causes of a foreign answer apart

The executor counts skipped responses by cause (tarragon_backend_responses_skipped) and requests whose id was sent before (tarragon_backend_repeated_ids), and writes its line event=run also for a run with a response if one of these applies to it or its status is 500 or above, within the bounded rate of failures. The line has the status, the stamp, and what the connection had carried; the dispatcher's line of an attempt has the stamp too, so that the two can be compared by the request's id. What is delivered is unchanged.

The doubles of agent.Protocol in tests get the new methods; their checks are as before.

--- a/internal/connection/backend/exchange_test.go
+++ b/internal/connection/backend/exchange_test.go
@@ -84,8 +84,9 @@
 func exchange(x *Exchanger, address, id string, idempotent bool) (*Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	e := Exchange{Method: http.MethodGet, Target: "/p?q=1", Host: "h", Idempotent: idempotent,
-		Matches: func(_ int, header http.Header) bool { return header.Get("Id") == id }}
+	e := Exchange{ID: id, Method: http.MethodGet, Target: "/p?q=1", Host: "h", Idempotent: idempotent,
+		Matches:    func(_ int, header http.Header) bool { return header.Get("Id") == id },
+		ResponseID: func(header http.Header) string { return header.Get("Id") }}
 	e.Header = append(e.Header, headerField("Id", id))
 	return x.Do(ctx, address, e)
 }
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -134,7 +134,7 @@
 
 // New returns an agent that has not started.
 func New(cfg Config, deps Dependencies) *Agent {
-	log := newRequestLog()
+	log := newRequestLog(deps.Protocol.Stamp)
 	a := &Agent{cfg: cfg, deps: deps, incarnation: uint64(time.Now().UnixNano()), unlisted: make(chan struct{}, 1)}
 	a.directoryEpoch.Store(uint64(time.Now().UnixMilli()))
 	a.tables = newTablesFollower(deps.Store, cfg.RevokeBound, cfg.Member, cfg.Zone)
--- a/internal/process/agent/dispatcher_test.go
+++ b/internal/process/agent/dispatcher_test.go
@@ -65,7 +65,7 @@
 // has neither a response nor a refusal.
 func TestEmptyAnswerIsAFailure(t *testing.T) {
 	g := NewWithT(t)
-	d := newDispatcher(newFleet("m", "z", 1, rateshare.Tolerance{}), nil, 0, nil, newRequestLog())
+	d := newDispatcher(newFleet("m", "z", 1, rateshare.Tolerance{}), nil, 0, nil, newRequestLog(noHeaders{}.Stamp))
 	p := &pendingAttempt{done: make(chan attemptResult, 1)}
 	id := d.newAttemptID()
 	d.addPending(id, p)
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -216,6 +216,7 @@
 		Origin:    r.attempt.Origin,
 	})...)
 	response, err := e.backend.Do(ctx, view.Address, backend.Exchange{
+		ID: r.attempt.RequestID, ResponseID: e.protocol.ResponseID,
 		Method: r.attempt.Request.Method, Target: r.attempt.Request.Target, Host: r.attempt.Request.Host,
 		Header: header, Body: r.attempt.Request.Body, Idempotent: r.attempt.Context.Idempotent,
 		Matches: func(status int, header http.Header) bool {
@@ -264,7 +265,26 @@
 		}
 		return actions
 	})
-	e.log.logRun(r, answer, serviceTime, err)
+	use := connectionUse(response, err)
+	for _, cause := range use.Skipped {
+		e.metrics.RecordSkippedResponse(string(cause))
+	}
+	if use.Repeated != "" {
+		e.metrics.RecordRepeatedID(string(use.Repeated))
+	}
+	e.log.logRun(r, answer, serviceTime, response, use, err)
+}
+
+// connectionUse returns what the result of an exchange tells of its connection.
+func connectionUse(response *backend.Response, err error) backend.ConnectionUse {
+	var failure *backend.Error
+	switch {
+	case response != nil:
+		return response.Use
+	case errors.As(err, &failure):
+		return failure.Use
+	}
+	return backend.ConnectionUse{}
 }
 
 // isServerFailure reports whether the backend server itself caused the failure of a
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -88,7 +88,7 @@
 		heartbeat := testHeartbeat("a", 1, 1, StateDraining)
 		heartbeat.Address = listener.Addr().String()
 		g.Expect(server.applyHeartbeat(time.Now(), heartbeat)).To(Succeed())
-		e := newExecutor(dottedIDs{noHeaders{}}, server, backend.NewExchanger(maxBodyBytes), nil, newRequestLog())
+		e := newExecutor(dottedIDs{noHeaders{}}, server, backend.NewExchanger(maxBodyBytes), nil, newRequestLog(noHeaders{}.Stamp))
 		boot += paused
 		answers := make(answersOf, 1)
 		now := time.Now()
@@ -106,6 +106,7 @@
 
 func (noHeaders) ServerHeader(ServerFields) []wire.HeaderField { return nil }
 func (noHeaders) Matches(string, int, http.Header) bool        { return true }
+func (noHeaders) Stamp([]wire.HeaderField) string              { return "" }
 
 // Guards against a stopping daemon that takes a caller's request without a key for a call
 // of a run in progress. A call's id names its run, or, where ids tell nothing, the call
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -103,6 +103,10 @@
 	ServerHeader(fields ServerFields) []wire.HeaderField
 	// Matches reports whether a response belongs to a request.
 	Matches(requestID string, status int, header http.Header) bool
+	// ResponseID returns the id of the request that a response states, or "".
+	ResponseID(header http.Header) string
+	// Stamp returns the backend server's stamp of a response, or "".
+	Stamp(header []wire.HeaderField) string
 	// ReadResponse reads the system's fields of a backend server's response.
 	ReadResponse(response *backend.Response) ServerResponseFields
 }
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -32,6 +32,8 @@
 	refusals      metric.Int64Counter
 	backendTime   metric.Float64Histogram
 	daemonTime    metric.Float64Histogram
+	skipped       metric.Int64Counter
+	repeatedIDs   metric.Int64Counter
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -123,6 +125,14 @@
 		metric.WithDescription("Attempts of this daemon to have its tables confirmed, by source, store or peer, and by result: confirmed or failed.")); err != nil {
 		return err
 	}
+	if m.skipped, err = m.meter.Int64Counter("tarragon_backend_responses_skipped",
+		metric.WithDescription("Responses of the backend server that were not to the request in progress on their connection, by cause.")); err != nil {
+		return err
+	}
+	if m.repeatedIDs, err = m.meter.Int64Counter("tarragon_backend_repeated_ids",
+		metric.WithDescription("Requests whose id had been sent to the backend server before, by connection: same-connection or other-connection.")); err != nil {
+		return err
+	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links that came up or went down, by event."))
 	return err
@@ -193,6 +203,24 @@
 	m.daemonTime.Record(context.Background(), took.Seconds(), m.withLabels("pool", pool))
 }
 
+// RecordSkippedResponse records a response of the backend server that was not to the
+// request in progress on its connection.
+func (m *Metrics) RecordSkippedResponse(cause string) {
+	if m == nil {
+		return
+	}
+	m.skipped.Add(context.Background(), 1, m.withLabels("cause", cause))
+}
+
+// RecordRepeatedID records a request whose id had been sent to the backend server before,
+// on the same connection or on another one.
+func (m *Metrics) RecordRepeatedID(connection string) {
+	if m == nil {
+		return
+	}
+	m.repeatedIDs.Add(context.Background(), 1, m.withLabels("connection", connection))
+}
+
 // RecordConfirmation records a call to the store, or a question to a peer, that was to
 // confirm the tables.
 func (m *Metrics) RecordConfirmation(source string, confirmed bool) {
