backend: a response that broke off does not join the next one on the connection

Cause: the Exchanger takes framing for granted. A second response to an earlier request that breaks off in the middle of a line ('HTTP/1.1 200 OK', then part of a field) and the true response that follows parse as one: the status line of the true one ends in the value of a field, and the result has the status of the broken response with the id and the stamp of the failed run. The check of the id cannot see it. The same inside a body: the rest is filled with the bytes of the next response.

Evidence: TestExchangeJoinsBrokenOffResponses puts a response that is cut at each byte in front of the true one.

Change: a status line inside the head (reason, value, trailer) is ErrJoined, and so is one that begins inside the body if further bytes follow it on the connection. The outcome is unknown, so that only idempotent requests are sent again. A body whose content is a status line is delivered as before.

Ruled out: cutting the connection after every skipped response (the broken one is not recognised as one to skip), one connection for each request (a handshake for each of over 20,000 requests a second on the grown site).

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -69,6 +69,9 @@
 var (
 	// ErrUnrelatedResponse means that only responses to other requests arrived.
 	ErrUnrelatedResponse = errors.New("the connection carried responses to other requests only")
+	// ErrJoined means that a response broke off and the next one on the connection went on
+	// in its place, so that status, fields or body may belong to different responses.
+	ErrJoined = errors.New("a response broke off and another one follows in its place")
 	// ErrContentEncoded means that the response has a Content-Encoding. Since the
 	// request asked for none, the response counts as corrupted in transit.
 	ErrContentEncoded = errors.New("the response has a Content-Encoding that was not asked for")
@@ -418,6 +421,9 @@
 	if err != nil {
 		return nil, false, false, err
 	}
+	if joinedHead(response) {
+		return nil, false, false, ErrJoined
+	}
 	// response.Body is not closed: Close would read a body without end. The connection is
 	// closed instead if the body was not read to its end.
 	if response.StatusCode < http.StatusOK {
@@ -435,6 +441,8 @@
 		return nil, false, false, ErrUnrelatedResponse
 	case unrelated:
 		return nil, false, true, nil
+	case c.joinedBody(body):
+		return nil, false, false, ErrJoined
 	case response.Header.Get("Content-Encoding") != "":
 		return nil, false, false, ErrContentEncoded
 	}
--- /dev/null
+++ b/internal/connection/backend/second_response_test.go
@@ -0,0 +1,174 @@
+package backend
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func stamped(status int, id, stamp, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nDate: Sun, 06 Dec 2026 10:48:26 GMT\r\nKeep-Alive: timeout=5\r\nId: %s\r\nStamp: %s\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), id, stamp, len(body), body)
+}
+
+// trueResponse is the response to the request "next", whose run has the stamp "run.2".
+type trueResponse struct {
+	status int
+	body   string
+}
+
+var trueResponses = map[string]trueResponse{"500": {500, "failed"}, "empty 500": {500, ""}, "200": {200, "the whole body"}}
+
+func (r trueResponse) String() string { return stamped(r.status, "next", "run.2", r.body) }
+
+// difference describes a result that is neither an error nor r.
+func (r trueResponse) difference(got *Response, err error) string {
+	if err != nil || got.Status == r.status && string(got.Body) == r.body && got.Header.Get("Stamp") == "run.2" {
+		return ""
+	}
+	return fmt.Sprintf("%d %q, stamp %q", got.Status, got.Body, got.Header.Get("Stamp"))
+}
+
+// extra is the second response to the request before, "first", and slowly the same byte by
+// byte. The others belong to no request in progress either.
+var extra, slowly = stamped(200, "first", "run.1", "ok"), strings.Join(strings.Split(stamped(200, "first", "run.1", "ok"), ""), pause)
+
+const (
+	noLength = "HTTP/1.1 200 OK\r\nStamp: run.1\r\nId: first\r\n\r\nok"
+	chunked  = "HTTP/1.1 200 OK\r\nId: first\r\nStamp: run.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	noID     = "HTTP/1.1 200 OK\r\nStamp: run.0\r\nContent-Length: 2\r\n\r\nok"
+	hints    = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	// pause in a script separates two writes, and hangUp at its end closes the connection.
+	pause, longPause, hangUp = "\x01", "\x01\x01\x01\x01\x01\x01\x01\x01", "\x02"
+	brief, medium, long      = 30 * time.Millisecond, maxUnprobedIdle + 50*time.Millisecond, maxNonIdempotentIdle + 50*time.Millisecond
+)
+
+// pieceServer writes the script for a request, given its number on the connection.
+func pieceServer(t testing.TB, script func(n int, id string) string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for n, last := 0, false; !last; n++ {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			var bytes string
+			bytes, last = strings.CutSuffix(script(n, request.Header.Get("Id")), hangUp)
+			for i, piece := range strings.Split(bytes, pause) {
+				time.Sleep(time.Duration(min(i, 1)) * 200 * time.Microsecond)
+				_, _ = io.WriteString(conn, piece)
+			}
+		}
+	}
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// row is a sequence of requests: those with the ids in before, an idle time, and "next".
+// Each response to the former is followed by after. The reply to "next" may hold words
+// that stand for responses; on a new connection it is the true response.
+type row struct {
+	before       []string
+	after, reply string
+	idle         time.Duration
+	mayFail      bool // an error is a correct result
+}
+
+func (r row) run(t *testing.T, want trueResponse, idempotent bool) (*Response, error) {
+	reply := strings.NewReplacer("TRUE", want.String(), "HEAD", strings.TrimSuffix(want.String(), want.body), "BODY", want.body,
+		"SECOND", stamped(200, "next", "run.2", "ok"), "FORMER", stamped(200, "next", "run.1", "ok"),
+		"NOID", strings.Replace(want.String(), "Id: next\r\n", "", 1), "UNKNOWN", stamped(want.status, "unknown", "run.2", want.body),
+		"CHUNKED", fmt.Sprintf("HTTP/1.1 %d X\r\nId: next\r\nStamp: run.2\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", want.status, len(want.body), want.body)).Replace(r.reply)
+	var requests atomic.Int32
+	address := pieceServer(t, func(n int, id string) string {
+		if int(requests.Add(1)) <= len(r.before) {
+			return stamped(200, id, "run.1", "the first body") + r.after
+		}
+		return map[bool]string{true: want.String(), false: reply}[n == 0 && len(r.before) > 0]
+	})
+	x := NewExchanger(bodyLimit)
+	defer x.Close()
+	for _, id := range r.before {
+		_, err := exchange(x, address, id, idempotent)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	}
+	time.Sleep(r.idle)
+	return exchange(x, address, "next", idempotent)
+}
+
+func runRows(t *testing.T, before []string, rows map[string]row) {
+	for name, r := range rows {
+		r.before = append(slices.Clone(before), r.before...)
+		for status, want := range trueResponses {
+			for kind, idempotent := range map[string]bool{"": false, ", idempotent": true} {
+				t.Run(name+" before "+status+kind, func(t *testing.T) {
+					t.Parallel()
+					g := NewWithT(t)
+					begun := time.Now()
+					response, err := r.run(t, want, idempotent)
+					g.Expect(want.difference(response, err)).To(BeEmpty())
+					g.Expect(time.Since(begun)-r.idle).To(BeNumerically("<", 700*time.Millisecond), "the deadline is 1 s")
+					g.Expect(err == nil || r.mayFail).To(BeTrue(), "%v", err)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a response that breaks off and joins the next one on the connection:
+// a failure gets the status of a success, or a success another body.
+func TestExchangeJoinsBrokenOffResponses(t *testing.T) {
+	for form, bytes := range map[string]string{"length": extra, "no length": noLength, "chunked": chunked, "no id": noID, "hints": hints, "503": stamped(503, "first", "run.1", ""), "itself": ""} {
+		for status, want := range trueResponses {
+			for tail, after := range map[string]string{"": "TRUE", ", second": "TRUE" + "SECOND", ", only second": "SECOND"} {
+				if (form == "itself") != (after == "SECOND") {
+					continue
+				}
+				whole := cmp.Or(bytes, want.String())
+				t.Run(form+" before "+status+tail, func(t *testing.T) {
+					t.Parallel()
+					wrong := []string{}
+					for end := 1; end <= len(whole); end++ {
+						if d := want.difference(row{before: []string{"first"}, reply: whole[:end] + after + hangUp}.run(t, want, true)); d != "" {
+							wrong = append(wrong, fmt.Sprintf("%q: %s", whole[:end], d))
+						}
+					}
+					NewWithT(t).Expect(wrong).To(BeEmpty(), "%d of %d places", len(wrong), len(whole))
+				})
+			}
+		}
+	}
+}
+
+// Guards against random bytes before the response to a failed run that make it another one.
+func FuzzExchangeBytesBeforeResponse(f *testing.F) {
+	for _, bytes := range []string{extra, extra[:14], extra[:30], noLength, noID[:25], chunked, hints} {
+		f.Add([]byte(bytes))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if strings.Contains(string(data), "next") {
+			return // may be a response with the id of the request
+		}
+		want := trueResponses["500"]
+		response, err := row{before: []string{"first"}, reply: string(data) + want.String() + hangUp}.run(t, want, true)
+		NewWithT(t).Expect(want.difference(response, err)).To(BeEmpty())
+	})
+}
