backend: a connection carries the id of a request once

Cause: the id identifies the request, not the send. After a second send over the same connection, a second response to the first run states the expected id.

'repeated' in the log is true or false, since the case same-connection is gone.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -83,7 +83,7 @@
 
 // Exchange is one request to a backend server.
 type Exchange struct {
-	// ID is the id of the request, by which ConnectionUse tells repeats. May be empty.
+	// ID is the id of the request. A connection carries an id once. May be empty.
 	ID     string
 	Method string
 	Target string // path and query
@@ -162,7 +162,7 @@
 // *Error. The end of ctx closes the connection, which cancels the request at the
 // server.
 func (x *Exchanger) Do(ctx context.Context, address string, e Exchange) (*Response, error) {
-	c, err := x.acquire(ctx, address, e.Idempotent)
+	c, err := x.acquire(ctx, address, &e)
 	if err != nil {
 		return nil, &Error{NotExecuted: true, Err: err}
 	}
@@ -185,7 +185,7 @@
 }
 
 // acquire returns an idle connection that the request may use, or a new one.
-func (x *Exchanger) acquire(ctx context.Context, address string, idempotent bool) (*conn, error) {
+func (x *Exchanger) acquire(ctx context.Context, address string, e *Exchange) (*conn, error) {
 	x.mu.Lock()
 	changed := x.address != address
 	x.mu.Unlock()
@@ -193,14 +193,14 @@
 		x.reset(address)
 	}
 	for {
-		c := x.popIdle()
+		c := x.takeIdle(e.ID)
 		if c == nil {
 			break
 		}
 		now := time.Now()
 		idle := now.Sub(c.lastUsed)
-		unprobed := idempotent && idle < maxUnprobedIdle
-		if now.After(c.reuseUntil) || !idempotent && idle > maxNonIdempotentIdle || !unprobed && !c.healthy() {
+		unprobed := e.Idempotent && idle < maxUnprobedIdle
+		if now.After(c.reuseUntil) || !e.Idempotent && idle > maxNonIdempotentIdle || !unprobed && !c.healthy() {
 			_ = c.Close()
 			continue
 		}
@@ -241,18 +241,18 @@
 	return n, err
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (x *Exchanger) popIdle() *conn {
+// takeIdle removes and returns the most recently used of the idle connections that have not
+// carried the id, or nil.
+func (x *Exchanger) takeIdle(id string) *conn {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	n := len(x.idle)
-	if n == 0 {
-		return nil
-	}
-	c := x.idle[n-1]
-	x.idle[n-1] = nil
-	x.idle = x.idle[:n-1]
-	return c
+	for n := len(x.idle) - 1; n >= 0; n-- {
+		if c := x.idle[n]; !c.hasCarried(id) {
+			x.idle = slices.Delete(x.idle, n, n+1)
+			return c
+		}
+	}
+	return nil
 }
 
 // release makes a connection available to later requests, or closes it if the address
--- a/internal/connection/backend/second_response_test.go
+++ b/internal/connection/backend/second_response_test.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// Guards against the second response to a request that is taken for the response to
+// the same request when it is sent again under its id.
+func TestExchangeTakesSecondResponseForRepeatedRequest(t *testing.T) {
+	runRows(t, []string{"next"}, map[string]row{
+		"second": {reply: "FORMER" + "TRUE"}, "second, slowly": {reply: "FORMER" + longPause + "TRUE"},
+		"second in idle": {after: longPause + stamped(200, "next", "run.1", "ok"), reply: "TRUE", idle: brief}, "idle, second": {reply: "FORMER" + "TRUE", idle: medium},
+		"another, second": {before: []string{"a"}, reply: "FORMER" + "TRUE"}, "3 others, second": {before: []string{"a", "b", "c"}, reply: "FORMER" + "TRUE"},
+	})
+}
+
 // Guards against a response that breaks off and joins the next one on the connection:
 // a failure gets the status of a success, or a success another body.
 func TestExchangeJoinsBrokenOffResponses(t *testing.T) {
--- a/internal/connection/backend/use.go
+++ b/internal/connection/backend/use.go
@@ -36,15 +36,6 @@
 	SkippedUnclassified SkipCause = "unclassified"
 )
 
-// Repeat tells where the id of a request was sent before.
-type Repeat string
-
-// The places, "" if the id was not sent before as far as known.
-const (
-	RepeatOnConnection      Repeat = "same-connection"
-	RepeatOnOtherConnection Repeat = "other-connection" // within recentTime
-)
-
 // ConnectionUse tells what the connection of a request has carried, for logs and metrics.
 type ConnectionUse struct {
 	// Connection is the number of the connection in this process, 0 if the request was
@@ -52,7 +43,7 @@
 	Connection uint64
 	Carried    int           // requests that the connection carried before this one
 	Idle       time.Duration // since the response to the one before, 0 for a new connection
-	Repeated   Repeat
+	Repeated   bool          // the id was sent to the server within recentTime
 	// Skipped holds the causes for which responses were skipped, in the order of arrival.
 	// The fields below are those of the last one.
 	Skipped       []SkipCause
@@ -65,6 +56,12 @@
 	idSeed         = maphash.MakeSeed()
 )
 
+// hasCarried reports whether the connection has carried a request with an id.
+func (c *conn) hasCarried(id string) bool {
+	_, found := c.ids[maphash.String(idSeed, id)]
+	return found && id != ""
+}
+
 // begin records that the connection is to carry a request with an id.
 func (x *Exchanger) begin(c *conn, id string) ConnectionUse {
 	now := time.Now()
@@ -77,12 +74,7 @@
 		return use
 	}
 	hash := maphash.String(idSeed, id)
-	recent := x.recent.add(now, hash)
-	if _, found := c.ids[hash]; found {
-		use.Repeated = RepeatOnConnection
-	} else if recent {
-		use.Repeated = RepeatOnOtherConnection
-	}
+	use.Repeated = x.recent.add(now, hash)
 	c.ids[hash] = struct{}{}
 	return use
 }
@@ -92,11 +84,10 @@
 	cause, id := SkippedUnclassified, ""
 	if e.ResponseID != nil {
 		id = e.ResponseID(response.Header)
-		_, carried := c.ids[maphash.String(idSeed, id)]
 		switch {
 		case id == "":
 			cause = SkippedNoID
-		case carried:
+		case c.hasCarried(id):
 			cause = SkippedEarlierRequest
 		default:
 			cause = SkippedOtherID
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -269,8 +269,8 @@
 	for _, cause := range use.Skipped {
 		e.metrics.RecordSkippedResponse(string(cause))
 	}
-	if use.Repeated != "" {
-		e.metrics.RecordRepeatedID(string(use.Repeated))
+	if use.Repeated {
+		e.metrics.RecordRepeatedID()
 	}
 	e.log.logRun(r, answer, serviceTime, response, use, err)
 }
--- a/internal/process/agent/log.go
+++ b/internal/process/agent/log.go
@@ -88,7 +88,7 @@
 // response is a failure or may be the one to another request.
 func (l *requestLog) logRun(r *run, answer *wire.Answer, serviceTime time.Duration, response *backend.Response, use backend.ConnectionUse, err error) {
 	failed := response != nil && response.Status >= http.StatusInternalServerError
-	if answer.Refusal == nil && !r.abandoned && !failed && len(use.Skipped) == 0 && use.Repeated == "" {
+	if answer.Refusal == nil && !r.abandoned && !failed && len(use.Skipped) == 0 && !use.Repeated {
 		return // the entry daemon logs the response
 	}
 	ok, dropped := l.allow(true)
@@ -108,5 +108,5 @@
 	logging.InfoEvent("executor", "run", "request", r.attempt.RequestID, "server", r.attempt.Server, "queue_ms", answer.QueueMS,
 		"service_ms", serviceTime.Milliseconds(), "status", status, "stamp", stamp, "refusal", kind, "detail", cause, "abandoned", r.abandoned,
 		"connection", use.Connection, "carried", use.Carried, "idle_ms", use.Idle.Milliseconds(), "skipped", len(use.Skipped),
-		"skipped_status", use.SkippedStatus, "skipped_id", use.SkippedID, "repeated", string(use.Repeated), "lines_dropped", dropped)
+		"skipped_status", use.SkippedStatus, "skipped_id", use.SkippedID, "repeated", use.Repeated, "lines_dropped", dropped)
 }
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -130,7 +130,7 @@
 		return err
 	}
 	if m.repeatedIDs, err = m.meter.Int64Counter("tarragon_backend_repeated_ids",
-		metric.WithDescription("Requests whose id had been sent to the backend server before, by connection: same-connection or other-connection.")); err != nil {
+		metric.WithDescription("Requests whose id had been sent to the backend server within the last 10 s.")); err != nil {
 		return err
 	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
@@ -212,13 +212,12 @@
 	m.skipped.Add(context.Background(), 1, m.withLabels("cause", cause))
 }
 
-// RecordRepeatedID records a request whose id had been sent to the backend server before,
-// on the same connection or on another one.
-func (m *Metrics) RecordRepeatedID(connection string) {
+// RecordRepeatedID records a request whose id had been sent to the backend server before.
+func (m *Metrics) RecordRepeatedID() {
 	if m == nil {
 		return
 	}
-	m.repeatedIDs.Add(context.Background(), 1, m.withLabels("connection", connection))
+	m.repeatedIDs.Add(context.Background(), 1)
 }
 
 // RecordConfirmation records a call to the store, or a question to a peer, that was to
