backend: what a connection has carried decides which responses are skipped

Cause: every response with another id or none was skipped, wherever it came. On a connection that has carried nothing else, the first response can belong to no other request: it is the answer of this run, broken, and what follows it is a second one. And the body of a skipped response was awaited without a bound of its own: one without a length, or that broke off, swallowed the true response.

Change: on a new connection a response that does not match is ErrUnrelatedResponse at once; so is one without a length or with 'Connection: close'. The body of a skipped response has 100 ms to arrive. The outcome is unknown, as before.

Result: all rows pass.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -38,6 +38,10 @@
 	// maxResponseReads is the maximum number of responses read for one request,
 	// including skipped ones: informational responses and those to other requests.
 	maxResponseReads = 4
+	// skipTimeout bounds the time for the body of a skipped response to arrive, which the
+	// server sends at once. If it broke off, the response to the request would be read in its
+	// place.
+	skipTimeout = 100 * time.Millisecond
 	// maxIdleConns is the maximum number of idle connections.
 	maxIdleConns = 512
 	// maxRequestsPerConn is the number of requests after which a connection is closed,
@@ -67,7 +71,8 @@
 
 // Errors of an exchange, wrapped in *Error.
 var (
-	// ErrUnrelatedResponse means that only responses to other requests arrived.
+	// ErrUnrelatedResponse means that responses arrived of which none is known to be the
+	// one to the request.
 	ErrUnrelatedResponse = errors.New("the connection carried responses to other requests only")
 	// ErrJoined means that a response broke off and the next one on the connection went on
 	// in its place, so that status, fields or body may belong to different responses.
@@ -110,9 +115,16 @@
 
 // Exchanger is an HTTP/1.1 client with a connection pool for one backend server that
 // may send responses late, twice or corrupted. net/http's client takes the next
-// response on a connection as the one to the current request; an Exchanger asks
-// Exchange.Matches, and reads on if the response is to an earlier request. It is safe for
-// concurrent use.
+// response on a connection as the one to the current request. An Exchanger takes a
+// response only if it can be to no other request that the connection has carried:
+//
+//   - Exchange.Matches accepts it, by the id that it states. Others are skipped if the
+//     connection has carried other requests, and are an error if it has not.
+//   - The connection has not carried the id before: a request that is sent again under its
+//     id gets another connection, since a second response to the first run has the same id.
+//   - No response has joined it (see joinedHead and joinedBody).
+//
+// An Exchanger is safe for concurrent use.
 type Exchanger struct {
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	maxBody int64
@@ -329,12 +341,12 @@
 	for range maxResponseReads {
 		var skipped bool
 		response, reusable, skipped, err = x.read(c, &e, use)
-		if skipped {
-			continue
-		}
 		if err != nil {
 			return nil, false, err
 		}
+		if skipped {
+			continue
+		}
 		return response, reusable && requestWritten(written), nil
 	}
 	return nil, false, ErrUnrelatedResponse
@@ -429,18 +441,14 @@
 	if response.StatusCode < http.StatusOK {
 		return nil, false, true, nil // informational
 	}
-	unrelated := e.Matches != nil && !e.Matches(response.StatusCode, response.Header)
-	if unrelated {
+	if e.Matches != nil && !e.Matches(response.StatusCode, response.Header) {
 		use.skip(c, e, response)
+		return nil, false, true, x.skipBody(c, response)
 	}
 	body, err := x.readBody(response.Body)
 	switch {
 	case err != nil:
 		return nil, false, false, err
-	case unrelated && response.Close:
-		return nil, false, false, ErrUnrelatedResponse
-	case unrelated:
-		return nil, false, true, nil
 	case c.joinedBody(body):
 		return nil, false, false, ErrJoined
 	case response.Header.Get("Content-Encoding") != "":
@@ -451,6 +459,22 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, false, nil
 }
 
+// skipBody reads the body of a response to another request. The error is
+// ErrUnrelatedResponse if the response to this request cannot follow it.
+func (x *Exchanger) skipBody(c *conn, response *http.Response) error {
+	endless := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if c.carried == 1 || response.Close || endless {
+		return ErrUnrelatedResponse
+	}
+	// The deadline set here ends only reads: ctx ends the exchange by closing the connection.
+	_ = c.SetReadDeadline(time.Now().Add(skipTimeout)) // fails if the connection is closed, and so does the read
+	if _, err := x.readBody(response.Body); err != nil {
+		return errors.Join(ErrUnrelatedResponse, err)
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	return nil
+}
+
 // readBody reads a body to its end. Its bytes count as buffered while it is read.
 func (x *Exchanger) readBody(source io.Reader) (body []byte, err error) {
 	defer func() { x.buffered.Add(-int64(len(body))) }()
--- a/internal/connection/backend/second_response_test.go
+++ b/internal/connection/backend/second_response_test.go
@@ -168,6 +168,40 @@
 	}
 }
 
+// Guards against the first response on a new connection that is skipped, though it can
+// belong to no other request, so that a second one is taken.
+func TestExchangeSkipsFirstResponseOnNewConnection(t *testing.T) {
+	runRows(t, nil, map[string]row{
+		"no id": {reply: "NOID" + "SECOND", mayFail: true}, "no id, slowly": {reply: "NOID" + longPause + "SECOND", mayFail: true},
+		"unknown id": {reply: "UNKNOWN" + "SECOND", mayFail: true}, "unknown id, slowly": {reply: "UNKNOWN" + longPause + "SECOND", mayFail: true},
+		"hints": {reply: hints + longPause + "TRUE"}, "part of hints": {reply: hints[:30] + "TRUE" + longPause + "SECOND", mayFail: true},
+	})
+}
+
+// Guards against bytes that belong to no request in progress and are taken for the
+// response, make the exchange fail or let it wait until its deadline.
+func TestExchangeBytesBeforeResponse(t *testing.T) {
+	runRows(t, []string{"first"}, map[string]row{
+		"nothing": {reply: "TRUE"}, "two": {reply: extra + extra + "TRUE"}, "three": {reply: strings.Repeat(extra, 3) + "TRUE"},
+		"one, slowly": {reply: slowly + "TRUE"}, "three, one slowly": {reply: extra + slowly + extra + "TRUE"},
+		"four": {reply: strings.Repeat(extra, 4) + "TRUE", mayFail: true}, "six, with second": {reply: strings.Repeat(extra, 6) + "TRUE" + "SECOND", mayFail: true},
+		"one after brief idle": {reply: extra + "TRUE", idle: brief}, "one in brief idle": {after: longPause + extra, reply: "TRUE", idle: brief},
+		"one after medium idle": {reply: extra + "TRUE", idle: medium}, "one in medium idle": {after: longPause + extra, reply: "TRUE", idle: medium},
+		"one after long idle": {reply: extra + "TRUE", idle: long}, "one in long idle": {after: longPause + extra, reply: "TRUE", idle: long},
+		"two in idle, two later": {after: longPause + extra + extra, reply: extra + extra + "TRUE", idle: brief, mayFail: true}, "one in idle and later": {after: longPause + extra[:30], reply: extra[30:] + "TRUE", idle: brief},
+		"part in brief idle": {after: longPause + extra[:30], reply: "TRUE", idle: brief, mayFail: true}, "part in medium idle": {after: longPause + extra[:30], reply: "TRUE", idle: medium},
+		"head and one": {reply: "HEAD" + extra + "BODY", mayFail: true}, "head and one, slowly": {reply: "HEAD" + longPause + extra + longPause + "BODY", mayFail: true},
+		"no length": {reply: noLength + "TRUE", mayFail: true}, "no length, slowly": {reply: noLength + longPause + "TRUE", mayFail: true},
+		"part of a body": {reply: strings.Replace(extra, "Length: 2", "Length: 9999", 1) + "TRUE", mayFail: true}, "part of a chunk": {reply: strings.Replace(chunked, "\r\n2\r\nok", "\r\n400\r\no", 1) + "TRUE", mayFail: true},
+		"part with id": {reply: chunked[:35] + "TRUE", mayFail: true}, "part with id, with second": {reply: chunked[:35] + "TRUE" + longPause + "SECOND", mayFail: true},
+		"blank line": {reply: "\r\n" + "TRUE", mayFail: true}, "blank lines": {reply: "\r\n\r\n\r\n" + "TRUE", mayFail: true}, "LF": {reply: "\n" + "TRUE", mayFail: true}, "CR": {reply: "\r" + "TRUE", mayFail: true},
+		"100": {reply: "HTTP/1.1 100 Continue\r\n\r\n" + longPause + "TRUE"}, "102": {reply: "HTTP/1.1 102 Processing\r\nId: next\r\n\r\n" + "TRUE"},
+		"three 103": {reply: strings.Repeat(hints, 3) + "TRUE"}, "five 103": {reply: strings.Repeat(hints, 5) + "TRUE", mayFail: true}, "trailer, chunked": {reply: "HTTP/1.1 200 OK\r\nTrailer: A" + "CHUNKED", mayFail: true},
+		"101": {reply: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + "TRUE", mayFail: true}, "part of 100": {reply: "HTTP/1.1 100 Con" + "TRUE", mayFail: true},
+		"part of 103, with second": {reply: hints[:35] + "TRUE" + longPause + "SECOND", mayFail: true}, "103 with length": {reply: "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n" + "TRUE", mayFail: true},
+	})
+}
+
 // Guards against random bytes before the response to a failed run that make it another one.
 func FuzzExchangeBytesBeforeResponse(f *testing.F) {
 	for _, bytes := range []string{extra, extra[:14], extra[:30], noLength, noID[:25], chunked, hints} {
