backend: a body without a length ends before a second response

Cause: the body of a response without a length is all that comes until the connection ends.

Evidence: TestExchangeEndsBodyBeforeSecondResponse, row 'second', got no error before.

Change: a status line inside such a body is ErrJoined. A server that sends a page about HTTP without a length is refused too; with a length or in chunks it is served.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -449,7 +449,7 @@
 	switch {
 	case err != nil:
 		return nil, false, false, err
-	case c.joinedBody(body):
+	case c.joinedBody(body, endsWithConnection(response)):
 		return nil, false, false, ErrJoined
 	case response.Header.Get("Content-Encoding") != "":
 		return nil, false, false, ErrContentEncoded
@@ -462,8 +462,7 @@
 // skipBody reads the body of a response to another request. The error is
 // ErrUnrelatedResponse if the response to this request cannot follow it.
 func (x *Exchanger) skipBody(c *conn, response *http.Response) error {
-	endless := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if c.carried == 1 || response.Close || endless {
+	if c.carried == 1 || response.Close || endsWithConnection(response) {
 		return ErrUnrelatedResponse
 	}
 	// The deadline set here ends only reads: ctx ends the exchange by closing the connection.
@@ -475,6 +474,11 @@
 	return nil
 }
 
+// endsWithConnection reports whether the body has no length and is not chunked.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // readBody reads a body to its end. Its bytes count as buffered while it is read.
 func (x *Exchanger) readBody(source io.Reader) (body []byte, err error) {
 	defer func() { x.buffered.Add(-int64(len(body))) }()
--- a/internal/connection/backend/exchange_test.go
+++ b/internal/connection/backend/exchange_test.go
@@ -147,6 +147,28 @@
 	}
 }
 
+// Guards against a second response that becomes the end of a body without a length.
+func TestExchangeEndsBodyBeforeSecondResponse(t *testing.T) {
+	for name, second := range map[string]string{"": "", "second": okResponse("r", "ok")} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := newPieceServer(t)
+			server.script.Store(func(int, string) string {
+				return "HTTP/1.1 200 OK\r\nId: r\r\n\r\nthe body" + second + hangUp
+			})
+			x := NewExchanger(bodyLimit)
+			defer x.Close()
+			response, err := exchange(x, server.address, "r", true)
+			if second != "" {
+				g.Expect(err).To(MatchError(ErrJoined))
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(response.Body)).To(Equal("the body"))
+		})
+	}
+}
+
 // A response without a length is complete when the server closes the connection.
 func TestExchangeAcceptsResponsesThatEndWithTheConnection(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/connection/backend/joined.go
+++ b/internal/connection/backend/joined.go
@@ -46,10 +46,10 @@
 
 // joinedBody reports whether another response begins inside the body that was read last.
 // A body may hold a status line as its content; then no bytes of it are left on the
-// connection.
-func (c *conn) joinedBody(body []byte) bool {
+// connection. Where the body ends with the connection, nothing tells the two apart.
+func (c *conn) joinedBody(body []byte, endsWithConnection bool) bool {
 	left := c.reader.Buffered()
-	if left == 0 {
+	if left == 0 && !endsWithConnection {
 		return false
 	}
 	following, _ := c.reader.Peek(min(left, statusLineBytes-1)) // at most what is buffered
@@ -57,10 +57,6 @@
 	if bytes.Contains(body, []byte(statusLinePrefix)) {
 		start = 0
 	}
-	for _, match := range statusLine.FindAllIndex(append(body[start:len(body):len(body)], following...), -1) {
-		if start+match[0] < len(body) {
-			return true
-		}
-	}
-	return false
+	match := statusLine.FindIndex(append(body[start:len(body):len(body)], following...))
+	return match != nil && start+match[0] < len(body)
 }
