backend: joined responses are found beyond the read buffer, in skipped bodies and in trailers

Cause: the check looked only at what the read buffer of 2 KB held. A body of 4,000 bytes or more is read past it, so that the rest of the next response is still in the kernel; bodies of skipped responses and trailers were not looked at.

Known: a field whose value is a status line is refused too, and so is a body that holds one and is followed by bytes that are no response.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -449,7 +449,7 @@
 	switch {
 	case err != nil:
 		return nil, false, false, err
-	case c.joinedBody(body, endsWithConnection(response)):
+	case c.joinedBody(response, body):
 		return nil, false, false, ErrJoined
 	case response.Header.Get("Content-Encoding") != "":
 		return nil, false, false, ErrContentEncoded
@@ -459,18 +459,22 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, false, nil
 }
 
-// skipBody reads the body of a response to another request. The error is
-// ErrUnrelatedResponse if the response to this request cannot follow it.
+// skipBody reads the body of a response to another request. The error wraps
+// ErrUnrelatedResponse or ErrJoined if the response to this request cannot follow it.
 func (x *Exchanger) skipBody(c *conn, response *http.Response) error {
 	if c.carried == 1 || response.Close || endsWithConnection(response) {
 		return ErrUnrelatedResponse
 	}
-	// The deadline set here ends only reads: ctx ends the exchange by closing the connection.
+	// This deadline ends only reads: ctx ends the exchange by closing the connection.
 	_ = c.SetReadDeadline(time.Now().Add(skipTimeout)) // fails if the connection is closed, and so does the read
-	if _, err := x.readBody(response.Body); err != nil {
+	body, err := x.readBody(response.Body)
+	_ = c.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil:
 		return errors.Join(ErrUnrelatedResponse, err)
+	case joinedTrailer(response) || statusLine.Match(body):
+		return ErrJoined
 	}
-	_ = c.SetReadDeadline(time.Time{})
 	return nil
 }
 
