backend: only a response to an earlier request is skipped

Cause: on a used connection, a response without an id or with an id that the connection never carried was skipped. It may be the response to this request, spoilt.

Change: a response is skipped if the connection has carried a request with its id; any other that does not match ends the exchange with an unknown outcome. TestConnectionUse and TestRunLinesTellForeignAnswersApart: these cases are now errors with the same cause in the log and the counter.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -118,8 +118,9 @@
 // response on a connection as the one to the current request. An Exchanger takes a
 // response only if it can be to no other request that the connection has carried:
 //
-//   - Exchange.Matches accepts it, by the id that it states. Others are skipped if the
-//     connection has carried other requests, and are an error if it has not.
+//   - Exchange.Matches accepts it, by the id that it states. One with the id of an earlier
+//     request on the connection is skipped. Any other may be the response to this request,
+//     spoilt, so that a second one would follow it, and is an error.
 //   - The connection has not carried the id before: a request that is sent again under its
 //     id gets another connection, since a second response to the first run has the same id.
 //   - No response has joined it (see joinedHead and joinedBody).
@@ -442,8 +443,8 @@
 		return nil, false, true, nil // informational
 	}
 	if e.Matches != nil && !e.Matches(response.StatusCode, response.Header) {
-		use.skip(c, e, response)
-		return nil, false, true, x.skipBody(c, response)
+		cause := use.skip(c, e, response)
+		return nil, false, true, x.skipBody(c, response, cause)
 	}
 	body, err := x.readBody(response.Body)
 	switch {
@@ -461,8 +462,8 @@
 
 // skipBody reads the body of a response to another request. The error wraps
 // ErrUnrelatedResponse or ErrJoined if the response to this request cannot follow it.
-func (x *Exchanger) skipBody(c *conn, response *http.Response) error {
-	if c.carried == 1 || response.Close || endsWithConnection(response) {
+func (x *Exchanger) skipBody(c *conn, response *http.Response, cause SkipCause) error {
+	if cause != SkippedEarlierRequest || response.Close || endsWithConnection(response) {
 		return ErrUnrelatedResponse
 	}
 	// This deadline ends only reads: ctx ends the exchange by closing the connection.
--- a/internal/connection/backend/use.go
+++ b/internal/connection/backend/use.go
@@ -79,15 +79,15 @@
 	return use
 }
 
-// skip records a response that is not the one to the request.
-func (u *ConnectionUse) skip(c *conn, e *Exchange, response *http.Response) {
+// skip records a response that is not the one to the request, and returns its cause.
+func (u *ConnectionUse) skip(c *conn, e *Exchange, response *http.Response) SkipCause {
 	cause, id := SkippedUnclassified, ""
 	if e.ResponseID != nil {
 		id = e.ResponseID(response.Header)
 		switch {
 		case id == "":
 			cause = SkippedNoID
-		case c.hasCarried(id):
+		case id != e.ID && c.hasCarried(id):
 			cause = SkippedEarlierRequest
 		default:
 			cause = SkippedOtherID
@@ -95,6 +95,7 @@
 	}
 	u.Skipped = append(u.Skipped, cause)
 	u.SkippedStatus, u.SkippedID = response.StatusCode, id[:min(len(id), maxSkippedIDBytes)]
+	return cause
 }
 
 // recentIDs holds hashes of the ids that were sent within the last recentTime to twice
--- a/internal/connection/backend/use_test.go
+++ b/internal/connection/backend/use_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -15,9 +16,14 @@
 func TestConnectionUse(t *testing.T) {
 	g := NewWithT(t)
 	long := strings.Repeat("x", 2*maxSkippedIDBytes)
-	address := scriptedServer(t, func(connection, n int, id string) string {
-		if connection == 0 && n == 1 {
-			return okResponse("a", "again") + "HTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\nx" + okResponse(long, "x") + okResponse(id, "x")
+	address := scriptedServer(t, func(_, _ int, id string) string {
+		switch id {
+		case "b":
+			return okResponse("a", "again") + okResponse(id, "x")
+		case "other":
+			return okResponse(long, "x") + okResponse(id, "x")
+		case "none":
+			return "HTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\nx" + okResponse(id, "x")
 		}
 		return okResponse(id, "x")
 	})
@@ -34,10 +40,21 @@
 	second := use("b")
 	g.Expect(second.Idle).To(BeNumerically(">=", 2*time.Millisecond))
 	g.Expect(second).To(Equal(ConnectionUse{Connection: first.Connection, Carried: 1, Idle: second.Idle, SkippedStatus: 200,
-		SkippedID: long[:maxSkippedIDBytes], Skipped: []SkipCause{SkippedEarlierRequest, SkippedNoID, SkippedOtherID}}))
+		SkippedID: "a", Skipped: []SkipCause{SkippedEarlierRequest}}))
 	repeated := use("a")
 	g.Expect(repeated.Repeated).To(BeTrue())
 	g.Expect(repeated.Connection).NotTo(Equal(first.Connection))
+	for id, want := range map[string]ConnectionUse{
+		"other": {SkippedStatus: 200, SkippedID: long[:maxSkippedIDBytes], Skipped: []SkipCause{SkippedOtherID}},
+		"none":  {SkippedStatus: 500, Skipped: []SkipCause{SkippedNoID}},
+	} {
+		_, err := exchange(x, address, id, true)
+		var failure *Error
+		g.Expect(errors.As(err, &failure)).To(BeTrue())
+		g.Expect(err).To(MatchError(ErrUnrelatedResponse))
+		want.Connection, want.Carried, want.Idle = failure.Use.Connection, failure.Use.Carried, failure.Use.Idle
+		g.Expect(failure.Use).To(Equal(want))
+	}
 	x.Close()
 	last := use("c")
 	g.Expect(last.Repeated).To(BeFalse())
--- a/internal/process/agent/log_test.go
+++ b/internal/process/agent/log_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,31 +53,24 @@
 		{"a", serverResponse(200, "a"), ""},
 		{"a", serverResponse(200, "a"), `status=200 stamp="\[{Id a}]" .* carried=0 idle_ms=0 skipped=0 skipped_status=0 skipped_id="" repeated=true `},
 		{"b", serverResponse(200, "a") + serverResponse(200, "b"), `status=200 .* carried=1 .* skipped=1 skipped_status=200 skipped_id=a repeated=false `},
-		{"c", serverResponse(500, "") + serverResponse(200, "c"), `status=200 .* skipped=1 skipped_status=500 skipped_id="" repeated=false `},
 		{"d", serverResponse(500, "d"), `status=500 stamp="\[{Id d}]" refusal="" .* skipped=0 `},
 		{"e", serverResponse(200, "e"), ""},
-		{"f", serverResponse(200, "z") + "HTTP/1.1 broken\r\n\r\n", `status=0 stamp="" refusal=upstream-failed .* carried=5 .* skipped=1 skipped_status=200 skipped_id=z `},
+		{"f", serverResponse(200, "z") + serverResponse(200, "f"), `status=0 stamp="" refusal=upstream-failed .* carried=4 .* skipped=1 skipped_status=200 skipped_id=z `},
+		{"g", serverResponse(500, "") + serverResponse(200, "g"), `status=0 stamp="" refusal=upstream-failed .* carried=1 .* skipped=1 skipped_status=500 skipped_id="" repeated=false `},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = listener.Close() }()
+	var step atomic.Int32
+	serve := func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for _, err := http.ReadRequest(reader); err == nil; _, err = http.ReadRequest(reader) {
+			_, _ = io.WriteString(conn, script[step.Add(1)-1].reply)
+		}
+	}
 	go func() {
-		var conn net.Conn
-		var reader *bufio.Reader
-		for i, step := range script {
-			var err error
-			if i <= 1 { // the repeated id gets a second connection, which carries the others too
-				if conn, err = listener.Accept(); err != nil {
-					return
-				}
-				reader = bufio.NewReader(conn)
-			}
-			if _, err = http.ReadRequest(reader); err == nil {
-				_, err = io.WriteString(conn, step.reply)
-			}
-			if err != nil {
-				return
-			}
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			go serve(conn)
 		}
 	}()
 	lines := make(logLines, 100)
