--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -108,6 +108,9 @@
 	Credits     uint8    `cbor:"7,keyasint"`           // extra attempts that the call may use
 	RemainingMS uint32   `cbor:"8,keyasint"`           // until the deadline
 	Idempotent  bool     `cbor:"9,keyasint,omitempty"`
+	// ObjectiveMS is the time that is left of the latency objective of the call tree,
+	// rounded up; 0: there is none, or it has passed. Only tarragon-agent sets it.
+	ObjectiveMS uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Remaining returns the time until the deadline of the call.
@@ -128,6 +131,9 @@
 	RequestID string `cbor:"7,keyasint,omitempty"`
 	// Origin is the service on the host at whose daemon the request entered.
 	Origin string `cbor:"8,keyasint,omitempty"`
+	// Movable is true if the sender can send the attempt to another upstream after a
+	// refusal as not executed. Only tarragon-agent sets it.
+	Movable bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Threshold is the shedding threshold of an executing daemon. It sheds requests with
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -105,7 +105,7 @@
 			return outcome.finalAnswer("no untried upstream of service " + c.service + " is available")
 		}
 		sent := time.Now()
-		result := d.sendAttempt(ctx, c, id, member)
+		result := d.sendAttempt(ctx, c, id, member, notReached+1 < maxNotReached)
 		d.fleet.attemptFinished(time.Now(), c.service, id, result.placementResult())
 		if result.answer != nil {
 			d.fleet.loadReported(c.service, id, result.answer.Load)
@@ -249,8 +249,9 @@
 	return id
 }
 
-// sendAttempt sends one attempt and waits for its result.
-func (d *dispatcher) sendAttempt(ctx context.Context, c *call, server string, member memberAddress) attemptResult {
+// sendAttempt sends one attempt and waits for its result. mayRefuse is false if no further
+// refusal as not executed would be followed by another attempt.
+func (d *dispatcher) sendAttempt(ctx context.Context, c *call, server string, member memberAddress, mayRefuse bool) attemptResult {
 	message := &wire.Attempt{
 		ID: d.newAttemptID(), Route: c.route, Pool: c.service, Server: server,
 		Context: wire.Context{
@@ -258,6 +259,7 @@
 			RemainingMS: uint32(max(0, time.Until(c.deadline).Milliseconds())),
 		},
 		Request: c.request, RequestID: c.requestID, Origin: c.origin,
+		Movable: mayRefuse && d.fleet.hasOtherUpstream(c.service, server, c.tried),
 	}
 	p := &pendingAttempt{done: make(chan attemptResult, 1)}
 	if member.self {
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -288,6 +288,15 @@
 	return server, memberAddress{name: owner.name, address: owner.address, self: owner.self}, true
 }
 
+// hasOtherUpstream reports whether a service has an upstream other than server that is not
+// in tried.
+func (f *fleet) hasOtherUpstream(service, server string, tried []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	table := f.placements[service]
+	return table != nil && table.HasOther(server, tried)
+}
+
 // attemptFinished records the result of an attempt for placement.
 func (f *fleet) attemptFinished(now time.Time, service, server string, result placement.Result) {
 	f.mu.Lock()
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -144,6 +144,11 @@
 // Len returns the number of candidates.
 func (t *Table) Len() int { return len(t.upstreams) }
 
+// HasOther reports whether there is a candidate other than id that is not in exclude.
+func (t *Table) HasOther(id string, exclude []string) bool {
+	return slices.ContainsFunc(t.upstreams, func(s *upstreamState) bool { return s.ID != id && !slices.Contains(exclude, s.ID) })
+}
+
 // RecordStart records an attempt sent to an upstream.
 func (t *Table) RecordStart(id string) {
 	if s := t.find(id); s != nil {
