zonespill: shares of attempts by availability zone; placement follows them

Change: package zonespill computes from the members' reports which share of a service's attempts leaves the zone and where it goes; placement draws the zone by these shares and two candidates in it. An attempt goes elsewhere beyond the shares if all healthy candidates of the zone would make it wait. Fleets with one zone choose as before.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -6,8 +6,8 @@
 //
 // The agent wires together packages that decide without doing I/O: shedding
 // (which requests the fleet has capacity for), rateshare (how the workspaces'
-// rates are divided between daemons), placement (which upstream gets an attempt)
-// and runqueue (which attempt the local backend server runs next). Daemons
+// rates are divided between daemons), zonespill (how much traffic leaves a zone),
+// placement (which upstream gets an attempt) and runqueue (which attempt the local backend server runs next). Daemons
 // exchange their status over UDP; attempts travel over peer links.
 //
 // Locking order: Agent.statusMu, then one of executor.mu and fleet.mu, then
@@ -217,7 +217,8 @@
 			return err
 		}
 	}
-	return nil
+	return a.deps.Metrics.RegisterLabelledGauge("tarragon_zone_share",
+		"Share of a pool's attempts that goes to an availability zone.", a.fleet.observeZoneShares)
 }
 
 // servePort opens a port and serves it. A port without an address is skipped.
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -38,6 +38,8 @@
 	importance uint8
 	idempotent bool
 	attempts   int // greatest number of attempts that may reach a backend server
+	arrived    time.Time
+	objective  time.Duration // latency objective of the route; 0: none
 	deadline   time.Time
 	request    wire.Request
 	tried      []string // upstreams chosen for the attempts so far
@@ -100,7 +102,7 @@
 		if d.stopping.Load() {
 			return outcome.finalAnswer("the daemon is stopping")
 		}
-		id, member, ok := d.fleet.pickUpstream(time.Now(), c.service, c.tried)
+		id, member, ok := d.fleet.pickUpstream(time.Now(), c)
 		if !ok {
 			return outcome.finalAnswer("no untried upstream of service " + c.service + " is available")
 		}
@@ -110,7 +112,13 @@
 		if result.answer != nil {
 			d.fleet.loadReported(c.service, id, result.answer.Load)
 			upstreamTime := time.Duration(result.answer.QueueMS+result.answer.ServiceMS) * time.Millisecond
-			d.metrics.RecordDaemonTime(c.service, max(0, time.Since(sent)-upstreamTime))
+			pathTime := max(0, time.Since(sent)-upstreamTime)
+			d.metrics.RecordDaemonTime(c.service, pathTime)
+			if result.answer.Load != nil { // the attempt was sent
+				bytes := messageBytes(c, result.answer)
+				d.metrics.RecordZoneAttempt(c.service, member.zone == d.fleet.zone, bytes)
+				d.fleet.attemptMeasured(time.Now(), c, member.zone, pathTime, bytes, result.answer)
+			}
 		}
 		c.tried = append(c.tried, id)
 		outcome.add(&result)
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -51,6 +51,7 @@
 	name    string
 	address string
 	self    bool
+	zone    string
 }
 
 // fleet is this daemon's view of all daemons: their addresses, what they report, and
@@ -73,6 +74,7 @@
 	plan            *shedding.Plan
 	// planLoggedAt is when the shedding plan was last logged.
 	planLoggedAt time.Time
+	zones        zoneTraffic
 	limiter      *rateshare.Limiter
 	rng          *rand.Rand
 	// arrivals holds the rate of the callers' requests that entered at this daemon.
@@ -89,7 +91,7 @@
 	return &fleet{
 		self: self, zone: zone, started: time.Now(),
 		members: make(map[string]*member), placements: make(map[string]*placement.Table), memberByServer: make(map[string]string),
-		plan: shedding.NewPlan(shedding.DefaultOptions), limiter: rateshare.New(incarnation, tolerance),
+		plan: shedding.NewPlan(shedding.DefaultOptions), zones: newZoneTraffic(zone), limiter: rateshare.New(incarnation, tolerance),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		arrivals: make(map[arrivalKey]*shedding.Rate),
 	}
@@ -251,13 +253,14 @@
 		}
 		f.memberByServer[m.status.Server] = m.name
 		upstreams = append(upstreams, placement.Upstream{
-			ID: m.status.Server, SameZone: m.status.Zone == f.zone, WarmingUp: m.status.State == wire.ServerWarmingUp,
+			ID: m.status.Server, Zone: m.status.Zone, SameZone: m.status.Zone == f.zone, WarmingUp: m.status.State == wire.ServerWarmingUp,
 			Load: loadOf(&m.status.Load), ReportNumber: m.status.Load.Number,
 		})
 	}
 	table := f.placements[service]
 	if table == nil {
 		table = &placement.Table{}
+		table.SetShares(f.zones.sharesOf(service))
 		f.placements[service] = table
 	}
 	table.Update(upstreams)
@@ -267,16 +270,16 @@
 	return placement.Load{Running: l.Running, Waiting: l.Waiting, Limit: l.Limit, ServiceTime: l.ServiceTime}
 }
 
-// pickUpstream chooses an upstream of a service that is not in tried, and counts an
-// attempt as started there.
-func (f *fleet) pickUpstream(now time.Time, service string, tried []string) (server string, m memberAddress, ok bool) {
+// pickUpstream chooses an upstream for a call that it has not tried, and counts an attempt
+// as started there.
+func (f *fleet) pickUpstream(now time.Time, c *call) (server string, m memberAddress, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	table := f.placements[service]
+	table := f.placements[c.service]
 	if table == nil {
 		return "", m, false
 	}
-	server, ok = table.Pick(now, f.rng, tried)
+	server, ok = table.Pick(now, f.rng, f.zones.request(now, c))
 	if !ok {
 		return "", m, false
 	}
@@ -285,7 +288,7 @@
 		return "", m, false
 	}
 	table.RecordStart(server)
-	return server, memberAddress{name: owner.name, address: owner.address, self: owner.self}, true
+	return server, memberAddress{name: owner.name, address: owner.address, self: owner.self, zone: owner.status.Zone}, true
 }
 
 // hasOtherUpstream reports whether a service has an upstream other than server that is not
--- a/internal/process/agent/plan.go
+++ b/internal/process/agent/plan.go
@@ -9,6 +9,7 @@
 	"tarragonshore.example/tarragonshore/internal/process/rateshare"
 	"tarragonshore.example/tarragonshore/internal/request/retry"
 	"tarragonshore.example/tarragonshore/internal/request/shedding"
+	"tarragonshore.example/tarragonshore/internal/request/zonespill"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 )
 
@@ -73,16 +74,19 @@
 	return arrivals, f.limiter.Report(interval)
 }
 
-// replan computes the shedding plan and the rate shares from the latest statuses.
+// replan computes the shedding plan, the shares of the zones and the rate shares from the latest statuses.
 func (f *fleet) replan(now time.Time, c *catalog.Catalog) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refreshUsable(now)
 	var reports []shedding.Report
 	var members []rateshare.Member
+	var byZone []zonespill.Report
 	for _, m := range f.members {
 		if !m.lastStatusAt.IsZero() && now.Sub(m.lastStatusAt) <= statusTimeout {
-			reports = append(reports, reportOf(m, now))
+			report := reportOf(m, now)
+			reports = append(reports, report)
+			byZone = append(byZone, zonespill.Report{Zone: m.status.Zone, Report: report})
 		}
 		if !m.self && f.mayServe(now, m) {
 			members = append(members, usageOf(m, now))
@@ -90,6 +94,10 @@
 	}
 	f.plan.Update(reports, c.TrafficSplit)
 	f.logPlan(now)
+	f.zones.update(now, byZone, f.plan.Share, c.TrafficSplit)
+	for service, table := range f.placements {
+		table.SetShares(f.zones.sharesOf(service))
+	}
 	f.limiter.Reconcile(now, members, func(workspace string) rateshare.Limit { return limitOf(c, workspace) })
 }
 
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -34,6 +34,8 @@
 	daemonTime    metric.Float64Histogram
 	skipped       metric.Int64Counter
 	repeatedIDs   metric.Int64Counter
+	zoneAttempts  metric.Int64Counter
+	zoneBytes     metric.Int64Counter
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -133,6 +135,14 @@
 		metric.WithDescription("Requests whose id had been sent to the backend server within the last 10 s.")); err != nil {
 		return err
 	}
+	if m.zoneAttempts, err = m.meter.Int64Counter("tarragon_zone_attempts",
+		metric.WithDescription("Answered attempts of tarragon-agent, by pool and by zone: own, or other for those that left the availability zone.")); err != nil {
+		return err
+	}
+	if m.zoneBytes, err = m.meter.Int64Counter("tarragon_zone_bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of the requests and responses of these attempts, without the overhead of the peer link, by pool and by zone.")); err != nil {
+		return err
+	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links that came up or went down, by event."))
 	return err
@@ -148,6 +158,17 @@
 	return err
 }
 
+// RegisterLabelledGauge registers a gauge with labels, whose values are read at each scrape.
+// read passes each value with alternating names and values of its labels.
+func (m *Metrics) RegisterLabelledGauge(name, description string, read func(observe func(value float64, pairs ...string))) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			read(func(value float64, pairs ...string) { o.Observe(value, m.withLabels(pairs...)) })
+			return nil
+		}))
+	return err
+}
+
 // RecordRequest records the end of a caller's request.
 func (m *Metrics) RecordRequest(route, workspace, outcome string, took time.Duration) {
 	if m == nil {
@@ -168,6 +189,21 @@
 	m.attempts.Add(context.Background(), 1, m.withLabels("pool", pool, "decision", decision))
 }
 
+// RecordZoneAttempt records an answered attempt, the bytes of its request and its response,
+// and whether it stayed in the availability zone.
+func (m *Metrics) RecordZoneAttempt(pool string, sameZone bool, bytes int) {
+	if m == nil {
+		return
+	}
+	zone := "other"
+	if sameZone {
+		zone = "own"
+	}
+	labels := m.withLabels("pool", pool, "zone", zone)
+	m.zoneAttempts.Add(context.Background(), 1, labels)
+	m.zoneBytes.Add(context.Background(), int64(bytes), labels)
+}
+
 // RecordQueueDelay records how long an attempt waited in the queue for the backend
 // server.
 func (m *Metrics) RecordQueueDelay(pool string, delay time.Duration) {
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -10,6 +10,11 @@
 // random candidates the one with the shorter time is chosen (power of two choices),
 // which keeps senders with the same reports from all choosing the same upstream.
 //
+// Where a service has servers in several availability zones, package zonespill decides how
+// much of its traffic goes to which zone (SetShares), and the two candidates are of one
+// zone. Balancing over all upstreams would send more than a third of all attempts to other
+// zones, where bytes are charged for.
+//
 // Package agent uses this package; package daemon uses routing instead.
 //
 // A Table is a pure state machine and not safe for concurrent use.
@@ -67,6 +72,7 @@
 // Upstream is a candidate as described by membership.
 type Upstream struct {
 	ID        string
+	Zone      string
 	SameZone  bool // in this daemon's availability zone
 	WarmingUp bool
 	Load      Load
@@ -100,6 +106,7 @@
 // Table holds the upstreams of one service.
 type Table struct {
 	upstreams []*upstreamState
+	shares    []ZoneShare // see SetShares
 }
 
 // Update replaces the candidates and keeps the state of those that remain.
@@ -123,7 +130,7 @@
 		s.sentSinceReport = 0
 		s.Load, s.ReportNumber = u.Load, u.ReportNumber
 	}
-	s.ID, s.SameZone, s.WarmingUp = u.ID, u.SameZone, u.WarmingUp
+	s.ID, s.Zone, s.SameZone, s.WarmingUp = u.ID, u.Zone, u.SameZone, u.WarmingUp
 }
 
 // Report applies the load report that arrived with an answer, if it is newer.
@@ -257,10 +264,24 @@
 // utilizationWeight is the weight of an upstream's slot utilization in its cost.
 const utilizationWeight = 0.5
 
-// Pick chooses the cheaper of two random candidates, the first of them in this
-// daemon's zone if possible. Upstreams in exclude are never chosen, ejected ones only
-// if no other remains. ok is false if there is no candidate.
-func (t *Table) Pick(now time.Time, rng *rand.Rand, exclude []string) (id string, ok bool) {
+// Pick chooses the upstream of an attempt. Upstreams in r.Exclude are never chosen, ejected
+// ones only if no other remains. ok is false if there is no candidate.
+func (t *Table) Pick(now time.Time, rng *rand.Rand, r Request) (id string, ok bool) {
+	if len(t.shares) == 0 {
+		return t.pickAnyZone(now, rng, r.Exclude)
+	}
+	// A retry may go to any zone: the first upstream has failed or refused the request.
+	if len(r.Exclude) == 0 {
+		if best := t.pickByShares(now, rng, &r); best != nil {
+			return best.ID, true
+		}
+	}
+	return t.pickAnyZone(now, rng, t.withSlowZones(now, &r))
+}
+
+// pickAnyZone chooses the cheaper of two random candidates, the first of them in this
+// daemon's zone if possible.
+func (t *Table) pickAnyZone(now time.Time, rng *rand.Rand, exclude []string) (id string, ok bool) {
 	if rng.Float64() < explorationShare {
 		explored := t.draw(rng, func(s *upstreamState) bool { return s.eligible(now, exclude, false) && !s.full() })
 		if explored != nil {
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -25,7 +25,7 @@
 	rng := rand.New(rand.NewPCG(5, 6))
 	count := map[string]int{}
 	for range n {
-		id, ok := t.Pick(start, rng, nil)
+		id, ok := t.Pick(start, rng, Request{})
 		if !ok {
 			continue
 		}
@@ -84,7 +84,7 @@
 	rng := rand.New(rand.NewPCG(7, 8))
 	later, tried := start.Add(10*time.Second), 0
 	for range 1000 {
-		if id, _ := table.Pick(later, rng, nil); id == "grey" {
+		if id, _ := table.Pick(later, rng, Request{}); id == "grey" {
 			tried++
 		}
 	}
@@ -130,7 +130,7 @@
 		table.RecordResult(start, "only", Failed)
 	}
 	g.Expect(picks(table, 10)["only"]).To(Equal(10))
-	_, ok := table.Pick(start, rand.New(rand.NewPCG(1, 1)), []string{"only"})
+	_, ok := table.Pick(start, rand.New(rand.NewPCG(1, 1)), Request{Exclude: []string{"only"}})
 	g.Expect(ok).To(BeFalse(), "an excluded upstream is not chosen")
 }
 
--- /dev/null
+++ b/internal/request/zonespill/mix.go
@@ -0,0 +1,72 @@
+package zonespill
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// mixDecay is the factor by which Apportion reduces what was recorded before, so that at
+// four updates a second a route's weight halves in about 1.7 s.
+const mixDecay = 0.9
+
+// use is what the attempts of a route took: slot time, and bytes on the peer link.
+type use struct{ seconds, bytes float64 }
+
+// Mix holds what the routes of one service use of its slots and of the peer links, as one
+// daemon measures it. If a part of the attempts has to leave the zone, the routes with the
+// fewest bytes per slot-second leave first: they relieve the zone's servers as much, and
+// large uploads stay.
+type Mix struct {
+	routes  map[string]*use
+	leaving map[string]float64 // by route
+}
+
+// Record adds one attempt.
+func (m *Mix) Record(route string, service time.Duration, bytes int) {
+	if m.routes == nil {
+		m.routes = map[string]*use{}
+	}
+	u := m.routes[route]
+	if u == nil {
+		u = &use{}
+		m.routes[route] = u
+	}
+	u.seconds += service.Seconds()
+	u.bytes += float64(bytes)
+}
+
+// Apportion computes the share of each route's attempts that leaves, so that the given
+// share of the slot time leaves.
+func (m *Mix) Apportion(leaving float64) {
+	total := 0.0
+	routes := make([]string, 0, len(m.routes))
+	for route, u := range m.routes {
+		u.seconds *= mixDecay
+		u.bytes *= mixDecay
+		if u.seconds < 1e-6 {
+			delete(m.routes, route)
+			continue
+		}
+		routes = append(routes, route)
+		total += u.seconds
+	}
+	slices.SortFunc(routes, func(a, b string) int {
+		x, y := m.routes[a], m.routes[b]
+		return cmp.Or(cmp.Compare(x.bytes*y.seconds, y.bytes*x.seconds), cmp.Compare(a, b))
+	})
+	m.leaving = make(map[string]float64, len(routes))
+	left := leaving * total
+	for _, route := range routes {
+		part := min(left, m.routes[route].seconds)
+		left -= part
+		m.leaving[route] = part / m.routes[route].seconds
+	}
+}
+
+// Leaving returns the share of a route's attempts that leaves the zone. ok is false if
+// nothing is known of the route.
+func (m *Mix) Leaving(route string) (share float64, ok bool) {
+	share, ok = m.leaving[route]
+	return share, ok
+}
