--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -1,6 +1,8 @@
 // Package wire defines the messages between daemons and their CBOR codec.
 // A frame is the encoded form of one message: a CBOR array of the type number and a
-// map with integer keys. Unknown keys are ignored, so that fields can be added.
+// map with integer keys. Unknown keys are ignored, so that fields can be added, and an
+// absent key stands for the zero value: attempts and answers between availability zones are
+// charged for by the byte.
 package wire
 
 import (
@@ -100,12 +102,12 @@
 // that it results from.
 type Context struct {
 	Workspace   string   `cbor:"1,keyasint,omitempty"`
-	KeyDigest   [32]byte `cbor:"2,keyasint"`
+	KeyDigest   [32]byte `cbor:"2,keyasint,omitzero"`
 	Open        bool     `cbor:"3,keyasint,omitempty"` // the root request's route needs no key
 	Importance  uint8    `cbor:"4,keyasint"`           // 0 is the most important
-	RootHash    uint8    `cbor:"5,keyasint"`           // of the root request; see Threshold
-	Depth       uint8    `cbor:"6,keyasint"`           // number of calls above it in the request tree
-	Credits     uint8    `cbor:"7,keyasint"`           // extra attempts that the call may use
+	RootHash    uint8    `cbor:"5,keyasint,omitempty"` // of the root request; see Threshold
+	Depth       uint8    `cbor:"6,keyasint,omitempty"` // number of calls above it in the request tree
+	Credits     uint8    `cbor:"7,keyasint,omitempty"` // extra attempts that the call may use
 	RemainingMS uint32   `cbor:"8,keyasint"`           // until the deadline
 	Idempotent  bool     `cbor:"9,keyasint,omitempty"`
 	// ObjectiveMS is the time that is left of the latency objective of the call tree,
@@ -150,8 +152,8 @@
 	ID        AttemptID `cbor:"1,keyasint"`
 	Response  *Response `cbor:"2,keyasint,omitempty"`
 	Refusal   *Refusal  `cbor:"3,keyasint,omitempty"`
-	Credits   uint8     `cbor:"4,keyasint"` // of Context.Credits, those not used
-	Threshold Threshold `cbor:"5,keyasint"`
+	Credits   uint8     `cbor:"4,keyasint,omitempty"` // of Context.Credits, those not used
+	Threshold Threshold `cbor:"5,keyasint,omitzero"`
 	QueueMS   uint32    `cbor:"6,keyasint,omitempty"`
 	ServiceMS uint32    `cbor:"7,keyasint,omitempty"`
 	// ShedDownstream is true if the backend server made a call during the run which was
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -30,19 +30,19 @@
 
 // call is a request to be run by one of a service's upstreams.
 type call struct {
-	requestID  string
-	route      string
-	service    string
-	origin     string
-	workspace  string
-	importance uint8
-	idempotent bool
-	attempts   int // greatest number of attempts that may reach a backend server
-	arrived    time.Time
-	objective  time.Duration // latency objective of the route; 0: none
-	deadline   time.Time
-	request    wire.Request
-	tried      []string // upstreams chosen for the attempts so far
+	requestID     string
+	route         string
+	service       string
+	origin        string
+	workspace     string
+	importance    uint8
+	idempotent    bool
+	attempts      int // greatest number of attempts that may reach a backend server
+	arrived       time.Time
+	latencyTarget time.Duration // latency objective of the route; 0: none
+	deadline      time.Time
+	request       wire.Request
+	tried         []string // upstreams chosen for the attempts so far
 }
 
 // attemptResult is the result of one attempt.
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -154,7 +154,7 @@
 	return e.dispatcher.dispatch(ctx, &call{
 		requestID: req.fields.RequestID, route: req.route.Name, service: e.chooseService(req.route, c.Version()), origin: e.originService(),
 		workspace: req.workspace, importance: req.importance, idempotent: req.route.Idempotent, attempts: req.route.MaxAttempts,
-		arrived: req.arrived, objective: req.route.LatencyTarget, deadline: req.deadline, request: request,
+		arrived: req.arrived, latencyTarget: req.route.LatencyTarget, deadline: req.deadline, request: request,
 	})
 }
 
--- a/internal/process/agent/zones.go
+++ b/internal/process/agent/zones.go
@@ -111,9 +111,9 @@
 
 // request describes the next attempt of a call for placement.
 func (z *zoneTraffic) request(now time.Time, c *call) placement.Request {
-	r := placement.Request{Exclude: c.tried, SlowZones: z.paths.TooSlow(now, c.objective)}
-	if c.objective > 0 {
-		r.Objective = max(1, c.objective-now.Sub(c.arrived))
+	r := placement.Request{Exclude: c.tried, SlowZones: z.paths.TooSlow(now, c.latencyTarget)}
+	if c.latencyTarget > 0 {
+		r.Objective = max(1, c.latencyTarget-now.Sub(c.arrived))
 	}
 	if mix := z.mixes[c.service]; mix != nil {
 		r.Leaving, r.HasLeaving = mix.Leaving(c.route)
