runqueue: order by latency objective and fair share, bound by predicted wait

Cause: the queue ordered by importance and arrival. Change: within an importance, work that can meet its objective comes before work that cannot, then workspaces within their fair share of the server's time, then the earliest objective. Attempts that are expected to miss it are put behind the others when they arrive, or returned to a sender that can move them to an upstream that is less than half as full. Less important attempts that have waited for half of their time get one start in ten. The objective counts from the arrival of the caller's request and is inherited by calls.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"math"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/request/shedding"
@@ -108,9 +109,41 @@
 	Credits     uint8    `cbor:"7,keyasint"`           // extra attempts that the call may use
 	RemainingMS uint32   `cbor:"8,keyasint"`           // until the deadline
 	Idempotent  bool     `cbor:"9,keyasint,omitempty"`
-	// ObjectiveMS is the time that is left of the latency objective of the call tree,
-	// rounded up; 0: there is none, or it has passed. Only tarragon-agent sets it.
-	ObjectiveMS uint32 `cbor:"10,keyasint,omitempty"`
+	// ObjectiveMS is the time that is left of the latency objective of the call tree;
+	// below 0: since it has passed; 0: there is none. Only tarragon-agent sets it.
+	ObjectiveMS int32 `cbor:"10,keyasint,omitempty"`
+	// CallerWorkspace is the workspace of the caller's request that a call results from, if
+	// it is known. Only tarragon-agent sets it, where Workspace is empty.
+	CallerWorkspace string `cbor:"11,keyasint,omitempty"`
+}
+
+// SetObjective sets the time that is left of the latency objective. The objective has
+// passed if it is 0 or less.
+func (c *Context) SetObjective(left time.Duration) {
+	ms := min(max(left.Milliseconds(), -math.MaxInt32), math.MaxInt32)
+	if ms == 0 {
+		ms = 1
+		if left <= 0 {
+			ms = -1
+		}
+	}
+	c.ObjectiveMS = int32(ms)
+}
+
+// Objective returns the time of the latency objective, zero if there is none.
+func (c *Context) Objective(now time.Time) time.Time {
+	if c.ObjectiveMS == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(c.ObjectiveMS) * time.Millisecond)
+}
+
+// RootWorkspace returns the workspace that the call tree belongs to, "" if not known.
+func (c *Context) RootWorkspace() string {
+	if c.Workspace != "" {
+		return c.Workspace
+	}
+	return c.CallerWorkspace
 }
 
 // Remaining returns the time until the deadline of the call.
@@ -134,6 +167,9 @@
 	// Movable is true if the sender can send the attempt to another upstream after a
 	// refusal as not executed. Only tarragon-agent sets it.
 	Movable bool `cbor:"9,keyasint,omitempty"`
+	// OtherWaitMS is how long the sender expects a Movable attempt to wait at the best
+	// other upstream; 0: it has a free slot. Only tarragon-agent sets it.
+	OtherWaitMS uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Threshold is the shedding threshold of an executing daemon. It sheds requests with
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -30,17 +30,21 @@
 
 // call is a request to be run by one of a service's upstreams.
 type call struct {
-	requestID  string
-	route      string
-	service    string
-	origin     string
-	workspace  string
-	importance uint8
-	idempotent bool
-	attempts   int // greatest number of attempts that may reach a backend server
-	deadline   time.Time
-	request    wire.Request
-	tried      []string // upstreams chosen for the attempts so far
+	requestID string
+	route     string
+	service   string
+	origin    string
+	workspace string
+	// callerWorkspace is the workspace that the call tree belongs to, if workspace is empty.
+	callerWorkspace string
+	importance      uint8
+	depth           uint8     // number of known calls above it in the call tree
+	objective       time.Time // of the latency of the call tree; zero: none
+	idempotent      bool
+	attempts        int // greatest number of attempts that may reach a backend server
+	deadline        time.Time
+	request         wire.Request
+	tried           []string // upstreams chosen for the attempts so far
 }
 
 // attemptResult is the result of one attempt.
@@ -256,10 +260,15 @@
 		ID: d.newAttemptID(), Route: c.route, Pool: c.service, Server: server,
 		Context: wire.Context{
 			Workspace: c.workspace, Importance: c.importance, Idempotent: c.idempotent,
-			RemainingMS: uint32(max(0, time.Until(c.deadline).Milliseconds())),
+			RemainingMS: uint32(max(0, time.Until(c.deadline).Milliseconds())), CallerWorkspace: c.callerWorkspace, Depth: c.depth,
 		},
 		Request: c.request, RequestID: c.requestID, Origin: c.origin,
-		Movable: mayRefuse && d.fleet.hasOtherUpstream(c.service, server, c.tried),
+	}
+	if !c.objective.IsZero() {
+		message.Context.SetObjective(time.Until(c.objective))
+	}
+	if wait, ok := d.fleet.otherUpstreamWait(time.Now(), c.service, server, c.tried); ok && mayRefuse {
+		message.Movable, message.OtherWaitMS = true, uint32(wait.Milliseconds())
 	}
 	p := &pendingAttempt{done: make(chan attemptResult, 1)}
 	if member.self {
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -35,14 +35,19 @@
 // inboundRequest is a request from a caller or a call made by the local backend
 // server, with what is known of it so far.
 type inboundRequest struct {
-	fields        CallerFields
-	arrived       time.Time
-	deadline      time.Time
-	route         *catalog.Route
-	workspace     string
-	importance    uint8
-	tablesVersion catalog.Version // of the tables it was checked against
-	tablesAge     time.Duration   // since the store confirmed the tables
+	fields    CallerFields
+	arrived   time.Time
+	deadline  time.Time
+	route     *catalog.Route
+	workspace string
+	// callerWorkspace is the workspace of the caller's request that made a call, "" if it
+	// is not known.
+	callerWorkspace string
+	depth           uint8 // number of known calls above it in the call tree
+	importance      uint8
+	objective       time.Time       // of the latency of the call tree; zero: none
+	tablesVersion   catalog.Version // of the tables it was checked against
+	tablesAge       time.Duration   // since the store confirmed the tables
 	// ofRun is true if the id names the run in progress that made the request.
 	ofRun bool
 }
@@ -126,6 +131,9 @@
 		return nil, refusal
 	}
 	req.deadline = req.arrived.Add(req.timeout())
+	if target := req.route.LatencyTarget; target > 0 {
+		req.objective = req.arrived.Add(target)
+	}
 	// Counted before the check whether the daemon stops: a stop that finds no accepted
 	// request can rely on that.
 	e.accepted.Add(1)
@@ -153,7 +161,7 @@
 	defer cancel()
 	return e.dispatcher.dispatch(ctx, &call{
 		requestID: req.fields.RequestID, route: req.route.Name, service: e.chooseService(req.route, c.Version()), origin: e.originService(),
-		workspace: req.workspace, importance: req.importance, idempotent: req.route.Idempotent, attempts: req.route.MaxAttempts,
+		workspace: req.workspace, callerWorkspace: req.callerWorkspace, importance: req.importance, depth: req.depth, objective: req.objective, idempotent: req.route.Idempotent, attempts: req.route.MaxAttempts,
 		deadline: req.deadline, request: request,
 	})
 }
@@ -253,8 +261,8 @@
 // without a key, on open routes and where the tables have no workspaces.
 func (e *entryHandler) admit(req *inboundRequest, c *catalog.Catalog) *problem.Problem {
 	if req.workspace == "" {
-		if importance, known := e.executor.countCall(req.fields.RequestID, req.route.Name); known {
-			req.importance, req.ofRun = importance, true
+		if parent, known := e.executor.countCall(req.fields.RequestID, req.route.Name); known {
+			req.inherit(parent)
 		}
 		return e.checkStop(req)
 	}
@@ -275,6 +283,15 @@
 	return nil
 }
 
+// inherit applies what a call inherits from the run that made it: the importance, the
+// workspace, and the objective of the run if it is the earlier one.
+func (req *inboundRequest) inherit(parent inherited) {
+	req.ofRun, req.importance, req.depth, req.callerWorkspace = true, parent.importance, parent.depth, parent.workspace
+	if req.objective.IsZero() || !parent.objective.IsZero() && parent.objective.Before(req.objective) {
+		req.objective = parent.objective
+	}
+}
+
 // checkStop returns a refusal if the daemon is stopping and the request might be cut off.
 func (e *entryHandler) checkStop(req *inboundRequest) *problem.Problem {
 	stop := e.stopping.Load()
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 	arrived   time.Time
 	started   time.Time
 	deadline  time.Time
+	objective time.Time          // of the latency of the call tree; zero: none
 	cancel    context.CancelFunc // set once it has started
 	calls     map[string]int     // number of calls that it made, by route
 	abandoned bool               // nothing waits for the answer any more
@@ -95,17 +97,31 @@
 // submit queues an attempt that arrived on a link or from the local dispatcher.
 func (e *executor) submit(from answerReceiver, attempt *wire.Attempt) {
 	now := time.Now()
-	r := &run{attempt: attempt, receiver: from, arrived: now, deadline: now.Add(attempt.Context.Remaining())}
+	r := &run{attempt: attempt, receiver: from, arrived: now, deadline: now.Add(attempt.Context.Remaining()), objective: attempt.Context.Objective(now)}
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
 		if refused := e.checkServer(now, attempt); refused != nil {
 			*out = append(*out, outgoingAnswer{from, e.refusalAnswer(attempt, refused)})
 			return runqueue.Actions{}
 		}
 		e.runs[attempt.ID] = r
-		return e.queue.Offer(now, runqueue.Attempt{ID: attempt.ID, Importance: attempt.Context.Importance, Deadline: r.deadline})
+		return e.queue.Offer(now, r.queueAttempt())
 	})
 }
 
+// queueAttempt returns what the queue needs to know of an attempt. An objective after the
+// deadline is of no use.
+func (r *run) queueAttempt() runqueue.Attempt {
+	objective := r.objective
+	if objective.After(r.deadline) {
+		objective = r.deadline
+	}
+	return runqueue.Attempt{
+		ID: r.attempt.ID, Importance: r.attempt.Context.Importance, Deadline: r.deadline, Objective: objective,
+		Workspace: r.attempt.Context.RootWorkspace(), Route: r.attempt.Route, MoreToCome: r.attempt.Context.Depth > 0,
+		Movable: r.attempt.Movable, OtherWait: time.Duration(r.attempt.OtherWaitMS) * time.Millisecond,
+	}
+}
+
 // checkServer returns the refusal of an attempt that the local backend server cannot
 // run in its present state, or nil.
 func (e *executor) checkServer(now time.Time, attempt *wire.Attempt) *problem.Problem {
@@ -141,6 +157,7 @@
 			continue
 		}
 		delete(e.runs, refusal.ID)
+		e.metrics.RecordQueueRefusal(string(refusal.Reason))
 		out = append(out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, queueRefusal(refusal.Reason))})
 	}
 	if e.queue.Waiting() > 0 {
@@ -243,6 +260,7 @@
 	answer.QueueMS = uint32(r.started.Sub(r.arrived).Milliseconds())
 	answer.ServiceMS = uint32(serviceTime.Milliseconds())
 	e.metrics.RecordQueueDelay(r.attempt.Pool, r.started.Sub(r.arrived))
+	e.metrics.RecordImportanceDelay(r.attempt.Context.Importance, r.started.Sub(r.arrived))
 	e.metrics.RecordBackendTime(r.attempt.Pool, serviceTime)
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
 		delete(e.runs, r.attempt.ID)
@@ -448,23 +466,33 @@
 	return requestID, age
 }
 
+// inherited is what a call inherits from the run that made it.
+type inherited struct {
+	importance uint8
+	depth      uint8 // of the call
+	workspace  string
+	objective  time.Time // zero: none
+}
+
 // countCall counts a call made by the local backend server. If the call's id names the
-// run in progress that made it, countCall returns the importance of that run.
-func (e *executor) countCall(requestID, route string) (importance uint8, known bool) {
+// run in progress that made it, countCall returns what the call inherits from that run.
+func (e *executor) countCall(requestID, route string) (parentRun inherited, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	parent := e.startedByRequest[e.protocol.ParentID(requestID)]
 	if parent == nil {
 		e.callsUnattributed = true
 		e.callEstimator.RecordUnattributedCall(route)
-		return 0, false
+		return inherited{}, false
 	}
 	e.callsAttributed = true
 	if parent.calls == nil {
 		parent.calls = make(map[string]int)
 	}
 	parent.calls[route]++
-	return parent.attempt.Context.Importance, true
+	context := &parent.attempt.Context
+	depth := min(context.Depth, math.MaxUint8-1) + 1
+	return inherited{importance: context.Importance, depth: depth, workspace: context.RootWorkspace(), objective: parent.objective}, true
 }
 
 // mayHaveMadeCall reports whether a request without a key, whose id names no run in
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -22,26 +22,50 @@
 	return requestID[:max(0, strings.LastIndexByte(requestID, '.'))]
 }
 
-// A call gets the importance of the request that made it, so that a service deep in
-// the call graph serves the calls of important requests first. An id that names no
-// run in progress gives no importance.
-func TestCallsInheritTheImportanceOfTheirRun(t *testing.T) {
+// A call gets the importance, the workspace and the objective of the request that made it,
+// so that a service deep in the call graph serves the calls of important and urgent
+// requests first. An id that names no run in progress gives none.
+func TestCallsInheritFromTheirRun(t *testing.T) {
 	g := NewWithT(t)
 	e := newExecutor(dottedIDs{}, newServerState(heartbeatInterval, ownAddress), nil, nil, nil)
-	important := &run{attempt: &wire.Attempt{RequestID: "root", Route: "order", Context: wire.Context{Importance: 8}}}
+	important := &run{attempt: &wire.Attempt{RequestID: "root", Route: "order", Context: wire.Context{Importance: 8, CallerWorkspace: "w"}}, objective: time.Now()}
 	e.startedByRequest["root"] = important
 	for _, id := range []string{"other", "other.1", "root", ".", ""} {
 		_, known := e.countCall(id, "ledger")
 		g.Expect(known).To(BeFalse(), id)
 	}
 	for range 2 {
-		importance, known := e.countCall("root.1", "ledger")
+		parent, known := e.countCall("root.1", "ledger")
 		g.Expect(known).To(BeTrue())
-		g.Expect(importance).To(Equal(uint8(8)))
+		g.Expect(parent).To(Equal(inherited{importance: 8, depth: 1, workspace: "w", objective: important.objective}))
 	}
 	g.Expect(important.calls).To(Equal(map[string]int{"ledger": 2}))
 }
 
+// A call gets the earlier of two objectives. Guards against one that has passed being taken
+// for none, so that late work would be ordered before work in time.
+func TestCallsInheritTheEarlierObjective(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	for _, c := range []struct{ own, parent, want time.Time }{
+		{time.Time{}, time.Time{}, time.Time{}},
+		{time.Time{}, now, now},
+		{now, time.Time{}, now},
+		{now, now.Add(time.Second), now},
+		{now, now.Add(-time.Second), now.Add(-time.Second)},
+	} {
+		req := &inboundRequest{objective: c.own}
+		req.inherit(inherited{importance: 3, workspace: "w", objective: c.parent})
+		g.Expect(req.objective).To(Equal(c.want))
+	}
+	for _, left := range []time.Duration{-time.Hour, -time.Millisecond, 0, time.Microsecond, time.Second} {
+		var context wire.Context
+		context.SetObjective(left)
+		g.Expect(context.Objective(now)).To(BeTemporally("~", now.Add(left), time.Millisecond), left.String())
+		g.Expect(context.Objective(now).After(now)).To(Equal(left > 0), left.String())
+	}
+}
+
 // A 500 counts as a failure of the backend server only if no call of the run can have
 // caused it. Otherwise one failing service would count at every service that calls it.
 func TestFailuresOfCallsAreNotServerFailures(t *testing.T) {
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -288,13 +288,16 @@
 	return server, memberAddress{name: owner.name, address: owner.address, self: owner.self}, true
 }
 
-// hasOtherUpstream reports whether a service has an upstream other than server that is not
-// in tried.
-func (f *fleet) hasOtherUpstream(service, server string, tried []string) bool {
+// otherUpstreamWait returns how long an attempt is expected to wait at the best upstream of
+// a service other than server that is not in tried. ok is false if there is none.
+func (f *fleet) otherUpstreamWait(now time.Time, service, server string, tried []string) (wait time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	table := f.placements[service]
-	return table != nil && table.HasOther(server, tried)
+	if table == nil {
+		return 0, false
+	}
+	return table.OtherWait(now, server, tried)
 }
 
 // attemptFinished records the result of an attempt for placement.
--- a/internal/process/agent/log.go
+++ b/internal/process/agent/log.go
@@ -59,10 +59,19 @@
 		kind, detail, executed = string(refusal.Kind), refusal.Detail, string(refusal.Executed)
 	}
 	logging.InfoEvent("entry", "request", "request", req.fields.RequestID, "route", req.routeName(), "workspace", req.workspace,
-		"importance", int(req.importance), "version", uint64(req.tablesVersion), "version_age_ms", ageMS(req.tablesAge), "status", status,
+		"importance", int(req.importance), "objective_ms", leftMS(req.objective, req.arrived), "version", uint64(req.tablesVersion), "version_age_ms", ageMS(req.tablesAge), "status", status,
 		"refusal", kind, "executed", executed, "detail", detail, "took_ms", elapsed.Milliseconds(), "lines_dropped", dropped)
 }
 
+// leftMS returns the time from now until the objective for a log line, below 0 if it has
+// passed and "" if there is none.
+func leftMS(objective, now time.Time) any {
+	if objective.IsZero() {
+		return ""
+	}
+	return objective.Sub(now).Milliseconds()
+}
+
 // logAttempt logs the result of an attempt and the decision that followed.
 func (l *requestLog) logAttempt(c *call, server string, m memberAddress, result *attemptResult, reason string) {
 	ok, dropped := l.allow(result.refusal != nil || result.response.Status >= http.StatusInternalServerError)
@@ -81,7 +90,7 @@
 	}
 	logging.InfoEvent("dispatcher", "attempt", "request", c.requestID, "route", c.route, "service", c.service, "server", server,
 		"member", m.name, "number", len(c.tried), "status", status, "stamp", stamp, "refusal", kind, "detail", detail, "queue_ms", queueMS,
-		"service_ms", serviceMS, "left_ms", time.Until(c.deadline).Milliseconds(), "next", reason, "lines_dropped", dropped)
+		"service_ms", serviceMS, "left_ms", time.Until(c.deadline).Milliseconds(), "objective_ms", leftMS(c.objective, time.Now()), "next", reason, "lines_dropped", dropped)
 }
 
 // logRun logs a run at the local backend server that was refused or abandoned, or whose
@@ -105,8 +114,8 @@
 	if err != nil {
 		cause = err.Error()
 	}
-	logging.InfoEvent("executor", "run", "request", r.attempt.RequestID, "server", r.attempt.Server, "queue_ms", answer.QueueMS,
-		"service_ms", serviceTime.Milliseconds(), "status", status, "stamp", stamp, "refusal", kind, "detail", cause, "abandoned", r.abandoned,
+	logging.InfoEvent("executor", "run", "request", r.attempt.RequestID, "server", r.attempt.Server, "importance", int(r.attempt.Context.Importance),
+		"objective_ms", leftMS(r.objective, r.started), "queue_ms", answer.QueueMS, "service_ms", serviceTime.Milliseconds(), "status", status, "stamp", stamp, "refusal", kind, "detail", cause, "abandoned", r.abandoned,
 		"connection", use.Connection, "carried", use.Carried, "idle_ms", use.Idle.Milliseconds(), "skipped", len(use.Skipped),
 		"skipped_status", use.SkippedStatus, "skipped_id", use.SkippedID, "repeated", use.Repeated, "lines_dropped", dropped)
 }
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -23,17 +24,19 @@
 	provider *sdkmetric.MeterProvider
 	meter    metric.Meter
 
-	requests      metric.Int64Counter
-	requestTime   metric.Float64Histogram
-	attempts      metric.Int64Counter
-	queueDelay    metric.Float64Histogram
-	linkEvents    metric.Int64Counter
-	confirmations metric.Int64Counter
-	refusals      metric.Int64Counter
-	backendTime   metric.Float64Histogram
-	daemonTime    metric.Float64Histogram
-	skipped       metric.Int64Counter
-	repeatedIDs   metric.Int64Counter
+	requests        metric.Int64Counter
+	requestTime     metric.Float64Histogram
+	attempts        metric.Int64Counter
+	queueDelay      metric.Float64Histogram
+	importanceDelay metric.Float64Histogram
+	queueRefusals   metric.Int64Counter
+	linkEvents      metric.Int64Counter
+	confirmations   metric.Int64Counter
+	refusals        metric.Int64Counter
+	backendTime     metric.Float64Histogram
+	daemonTime      metric.Float64Histogram
+	skipped         metric.Int64Counter
+	repeatedIDs     metric.Int64Counter
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -107,6 +110,15 @@
 		metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
 		return err
 	}
+	if m.importanceDelay, err = m.meter.Float64Histogram("tarragon_importance_delay", metric.WithUnit("s"),
+		metric.WithDescription("Time from the arrival of an attempt until it is sent to the backend server, by importance."),
+		metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
+		return err
+	}
+	if m.queueRefusals, err = m.meter.Int64Counter("tarragon_queue_refusals",
+		metric.WithDescription("Attempts that the queue in front of the backend server refused, by reason.")); err != nil {
+		return err
+	}
 	if m.refusals, err = m.meter.Int64Counter("tarragon_refusals",
 		metric.WithDescription("Requests that this daemon itself refused or failed, by kind of problem and by whether they were executed.")); err != nil {
 		return err
@@ -177,6 +189,23 @@
 	m.queueDelay.Record(context.Background(), delay.Seconds(), m.withLabels("pool", pool))
 }
 
+// RecordImportanceDelay records how long an attempt of an importance waited in the queue
+// for the backend server.
+func (m *Metrics) RecordImportanceDelay(importance uint8, delay time.Duration) {
+	if m == nil {
+		return
+	}
+	m.importanceDelay.Record(context.Background(), delay.Seconds(), m.withLabels("importance", strconv.Itoa(int(importance))))
+}
+
+// RecordQueueRefusal records an attempt that the queue for the backend server refused.
+func (m *Metrics) RecordQueueRefusal(reason string) {
+	if m == nil {
+		return
+	}
+	m.queueRefusals.Add(context.Background(), 1, m.withLabels("reason", reason))
+}
+
 // RecordRefusal records a request that this daemon refused or failed. The kind is that
 // of the problem; executed is "no" or "unknown".
 func (m *Metrics) RecordRefusal(kind, executed string) {
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -144,11 +144,6 @@
 // Len returns the number of candidates.
 func (t *Table) Len() int { return len(t.upstreams) }
 
-// HasOther reports whether there is a candidate other than id that is not in exclude.
-func (t *Table) HasOther(id string, exclude []string) bool {
-	return slices.ContainsFunc(t.upstreams, func(s *upstreamState) bool { return s.ID != id && !slices.Contains(exclude, s.ID) })
-}
-
 // RecordStart records an attempt sent to an upstream.
 func (t *Table) RecordStart(id string) {
 	if s := t.find(id); s != nil {
@@ -237,9 +232,8 @@
 	}
 	limit := float64(max(1, s.Load.Limit))
 	outstanding := float64(s.outstanding())
-	waits := max(0, outstanding+1-limit) / limit // queueing time, in service times
 	// The utilization term spreads load while no upstream is saturated.
-	cost := seconds * (1 + waits + utilizationWeight*outstanding/limit)
+	cost := seconds * (1 + s.waits() + utilizationWeight*outstanding/limit)
 	if !s.SameZone {
 		cost *= crossZoneFactor
 	}
--- a/internal/request/runqueue/runqueue.go
+++ b/internal/request/runqueue/runqueue.go
@@ -8,6 +8,13 @@
 // finish before its deadline, and reports each refusal at once, with the guarantee
 // that the attempt has not run.
 //
+// Some servers receive both short urgent requests and nested calls of call trees that
+// tolerate seconds, at 93% of their slots and above. Attempts with a latency objective
+// are therefore ordered further within an importance: by whether they can still meet it,
+// by the fair shares of the workspaces, then by the objective (order.go, fairshare.go).
+// The bound of their queue follows from the objective (bound.go). Attempts without an
+// objective keep the order of arrival and a bound on their number.
+//
 // Package agent uses this package; package daemon uses admission instead.
 //
 // A Queue is a pure state machine and not safe for concurrent use.
@@ -28,10 +35,6 @@
 	// classCount is the number of importance classes. Class 0 is the most important
 	// one. Importances of classCount or more share the last class.
 	classCount = 64
-	// maxWaitingPerSlot bounds the queue length, as a multiple of Limit.
-	maxWaitingPerSlot = 8
-	// minWaitingBound is the smallest bound of the queue length, whatever the Limit.
-	minWaitingBound = 64
 	// smoothingRuns is the number of runs over which the service time and the queueing
 	// time are averaged.
 	smoothingRuns = 64
@@ -39,13 +42,6 @@
 	// the deadline when an attempt is started. It is below 1 because many requests take
 	// less than the mean.
 	minServiceShare = 0.5
-	// trustedWaitShare is the fraction of the computed wait that is taken as certain:
-	// the service time is an average, and waiting attempts may be cancelled.
-	trustedWaitShare = 0.8
-	// startRateTimeConstant is the time constant of the start rate of a class.
-	// minStartRate is the lowest start rate, per second, that predictedWait assumes.
-	startRateTimeConstant = time.Second
-	minStartRate          = 1.0
 )
 
 // ID identifies an attempt.
@@ -56,8 +52,24 @@
 	ID         ID
 	Importance uint8 // lower is more important
 	Deadline   time.Time
+	// Objective is the time by which the attempt's call tree should be answered; zero:
+	// there is none, and the attempt is ordered by importance and arrival only.
+	Objective time.Time
+	// Workspace is the one that the server's time is charged to, Route the one whose
+	// service times tell the cost. Both are used only with an Objective.
+	Workspace, Route string
+	// MoreToCome is true if the attempt is a call made by a run, so that its call tree may
+	// make more calls before it can be answered.
+	MoreToCome bool
+	// Movable is true if the sender can send the attempt to another upstream, where the
+	// sender expects it to wait for OtherWait.
+	Movable   bool
+	OtherWait time.Duration
 }
 
+// ordered reports whether the attempt is ordered by its objective.
+func (a *Attempt) ordered() bool { return !a.Objective.IsZero() }
+
 // Reason is why an attempt was refused.
 type Reason string
 
@@ -67,6 +79,9 @@
 	ReasonDeadlineTooClose Reason = "not-enough-time"
 	ReasonNoSlots          Reason = "no-slots-announced"
 	ReasonDisplaced        Reason = "displaced"
+	// ReasonObjectiveMissed refuses an attempt that would miss its objective here and is
+	// expected to meet it at another upstream.
+	ReasonObjectiveMissed Reason = "objective-missed"
 )
 
 // Refusal ends an attempt that has not been started and never will be.
@@ -82,30 +97,42 @@
 	Refuse []Refusal
 }
 
-// entry is a queued attempt.
-type entry struct {
-	Attempt
-	queuedAt time.Time
-	element  *list.Element
-	class    int
+// runningAttempt is a started attempt.
+type runningAttempt struct {
+	started time.Time
+	route   string        // "" without an objective
+	cost    time.Duration // that was charged to the workspace
+	share   *share        // of the workspace; nil without an objective
 }
 
 // Queue orders the attempts for one backend server.
 type Queue struct {
-	slots       int
-	running     map[ID]time.Time
-	waiting     map[ID]*entry
-	classes     [classCount]*list.List
-	startRates  [classCount]startRate
+	slots   int
+	running map[ID]runningAttempt
+	waiting map[ID]*entry
+	classes [classCount]class
+	// unordered is the number of waiting attempts without an objective.
+	unordered   int
+	startRates  [classCount]decayingRate // starts
+	workRates   [classCount]decayingRate // seconds of expected service time started
 	serviceTime time.Duration
+	costs       routeCosts
+	shares      fairShares
 	queueTime   time.Duration // smoothed queueing time of started attempts
+	// slowdown is by how much the server is slower than its service times say; 1: not known
+	// to be slower.
+	slowdown float64
+	// startsInOrder is the number of starts since the last one out of order.
+	startsInOrder int
+	sequence      uint64 // of the last queued attempt
+	epoch         time.Time
 }
 
 // New returns a queue without slots.
 func New() *Queue {
-	q := &Queue{running: make(map[ID]time.Time), waiting: make(map[ID]*entry)}
+	q := &Queue{running: make(map[ID]runningAttempt), waiting: make(map[ID]*entry), slowdown: 1}
 	for i := range q.classes {
-		q.classes[i] = list.New()
+		q.classes[i].arrivals = list.New()
 	}
 	return q
 }
@@ -138,90 +165,23 @@
 	return q.queueTime
 }
 
-// Offer queues, starts or refuses an attempt. A more important attempt displaces the
-// newest of the least important ones if the queue is full.
-func (q *Queue) Offer(now time.Time, a Attempt) Actions {
-	var actions Actions
-	if q.Limit() == 0 {
-		return refuse(actions, a.ID, ReasonNoSlots)
-	}
-	e := &entry{Attempt: a, queuedAt: now, class: int(min(a.Importance, classCount-1))}
-	if !q.canFinish(now.Add(q.predictedWait(now, e.class)), a.Deadline) {
-		return refuse(actions, a.ID, ReasonDeadlineTooClose)
-	}
-	if len(q.waiting) >= max(minWaitingBound, maxWaitingPerSlot*q.Limit()) {
-		displaced := q.leastImportant()
-		if displaced.class <= e.class {
-			return refuse(actions, a.ID, ReasonQueueFull)
-		}
-		q.remove(displaced)
-		actions = refuse(actions, displaced.ID, ReasonDisplaced)
-	}
-	e.element = q.classes[e.class].PushBack(e)
-	q.waiting[a.ID] = e
-	return q.startWaiting(now, actions)
-}
-
-// predictedWait estimates the queueing time of a new attempt: the number of waiting
-// attempts of its class, divided by the service rate that more important classes
-// leave to the class. Offer refuses an attempt that could not finish after that wait,
-// so that the sender can use the remaining time at another upstream.
-func (q *Queue) predictedWait(now time.Time, class int) time.Duration {
-	if len(q.running) < q.Limit() || q.serviceTime == 0 {
-		return 0
-	}
-	availableRate := float64(q.Limit()) / q.serviceTime.Seconds()
-	for c := range class {
-		availableRate -= q.startRates[c].perSecond(now)
-	}
-	availableRate = max(availableRate, q.startRates[class].perSecond(now), minStartRate)
-	return time.Duration(trustedWaitShare * float64(q.classes[class].Len()) / availableRate * float64(time.Second))
-}
-
-// startRate is the rate at which attempts of a class start, averaged with exponentially
-// decaying weights.
-type startRate struct {
-	recent float64 // starts, each weighted by its age at time at
-	at     time.Time
-}
-
-func (r *startRate) add(now time.Time) {
-	r.recent, r.at = r.perSecond(now)*startRateTimeConstant.Seconds()+1, now
-}
-
-func (r *startRate) perSecond(now time.Time) float64 {
-	if r.recent == 0 {
-		return 0
-	}
-	return r.recent * math.Exp(-now.Sub(r.at).Seconds()/startRateTimeConstant.Seconds()) / startRateTimeConstant.Seconds()
-}
-
 func refuse(actions Actions, id ID, reason Reason) Actions {
 	actions.Refuse = append(actions.Refuse, Refusal{ID: id, Reason: reason})
 	return actions
 }
 
-// leastImportant returns the newest waiting attempt of the least important class that
-// has one.
-func (q *Queue) leastImportant() *entry {
-	for class := classCount - 1; class >= 0; class-- {
-		if back := q.classes[class].Back(); back != nil {
-			return back.Value.(*entry)
-		}
-	}
-	return nil
-}
-
-func (q *Queue) remove(e *entry) {
-	q.classes[e.class].Remove(e.element)
-	delete(q.waiting, e.ID)
-}
-
 // Finish ends a started attempt. A service time above 0 is added to the average.
 func (q *Queue) Finish(now time.Time, id ID, serviceTime time.Duration) Actions {
+	r := q.running[id]
 	delete(q.running, id)
+	if r.share != nil {
+		q.shares.finished(now, r.share, serviceTime-r.cost, serviceTime > 0)
+	}
 	if serviceTime > 0 {
 		q.recordServiceTime(serviceTime)
+		if r.route != "" {
+			q.costs.record(now, r.route, serviceTime)
+		}
 	}
 	return q.startWaiting(now, Actions{})
 }
@@ -248,11 +208,12 @@
 // finish in time. Call it after SetSlots, and periodically while attempts wait.
 func (q *Queue) Advance(now time.Time) Actions {
 	var actions Actions
-	for _, class := range q.classes {
-		for e := class.Front(); e != nil; {
+	q.measureSlowdown(now)
+	for i := range q.classes {
+		for e := q.classes[i].arrivals.Front(); e != nil; {
 			next := e.Next()
 			waiting := e.Value.(*entry)
-			if !q.canFinish(now, waiting.Deadline) {
+			if !q.canFinish(now, waiting) {
 				q.remove(waiting)
 				actions = refuse(actions, waiting.ID, ReasonDeadlineTooClose)
 			}
@@ -265,36 +226,55 @@
 // startWaiting starts waiting attempts while slots are free.
 func (q *Queue) startWaiting(now time.Time, actions Actions) Actions {
 	for len(q.running) < q.Limit() {
-		e := q.head()
+		e, outOfOrder := q.head(now)
 		if e == nil {
 			break
 		}
 		q.remove(e)
-		if !q.canFinish(now, e.Deadline) {
+		if !q.canFinish(now, e) {
 			actions = refuse(actions, e.ID, ReasonDeadlineTooClose)
 			continue
 		}
 		q.queueTime += (now.Sub(e.queuedAt) - q.queueTime) / smoothingRuns
-		q.running[e.ID] = now
-		q.startRates[e.class].add(now)
+		q.recordStart(now, e, outOfOrder)
 		actions.Start = append(actions.Start, e.ID)
 	}
 	return actions
 }
 
-// head returns the oldest waiting attempt of the most important class that has one.
-func (q *Queue) head() *entry {
-	for _, class := range q.classes {
-		if front := class.Front(); front != nil {
-			return front.Value.(*entry)
-		}
+// recordStart records that an attempt starts.
+func (q *Queue) recordStart(now time.Time, e *entry, outOfOrder bool) {
+	r := runningAttempt{started: now, cost: e.cost}
+	if e.ordered() {
+		r.route, r.share = e.Route, e.flow.share
+		q.shares.started(now, r.share, e.cost)
+	}
+	q.running[e.ID] = r
+	q.startRates[e.class].add(now, 1)
+	q.workRates[e.class].add(now, e.cost.Seconds())
+	q.startsInOrder++
+	if outOfOrder {
+		q.startsInOrder = 0
 	}
-	return nil
 }
 
 // canFinish reports whether an attempt started at now is likely enough to finish by its
 // deadline.
-func (q *Queue) canFinish(now time.Time, deadline time.Time) bool {
-	needed := time.Duration(minServiceShare * float64(q.serviceTime))
-	return deadline.Sub(now) > needed
+func (q *Queue) canFinish(now time.Time, e *entry) bool {
+	needed := q.leastTime(e)
+	if e.rank == late {
+		// Late attempts are ordered by deadline, so that in overload each would be started
+		// with the least time left, and few would finish.
+		needed = e.cost
+	}
+	return e.Deadline.Sub(now) > needed
+}
+
+// leastTime returns the time that must be left when an attempt starts.
+func (q *Queue) leastTime(e *entry) time.Duration {
+	expected := q.serviceTime
+	if e.ordered() {
+		expected = e.cost
+	}
+	return time.Duration(minServiceShare * float64(expected))
 }
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -41,7 +41,8 @@
 	// Timeout bounds the time until the caller gets a response; with 0 only the
 	// caller's deadline does.
 	Timeout time.Duration `cbor:"7,keyasint,omitempty"`
-	// LatencyTarget is the latency objective of the route. No decision depends on it.
+	// LatencyTarget is the latency objective of the route, 0 for none. It orders requests
+	// of the same importance in the queues of the backend servers.
 	LatencyTarget time.Duration `cbor:"8,keyasint,omitempty"`
 	// MaxAttempts is the maximum number of upstreams that one request is sent to.
 	MaxAttempts int `cbor:"9,keyasint,omitempty"`
