--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -267,8 +267,10 @@
 	if !c.objective.IsZero() {
 		message.Context.SetObjective(time.Until(c.objective))
 	}
-	if wait, ok := d.fleet.otherUpstreamWait(time.Now(), c.service, server, c.tried); ok && mayRefuse {
-		message.Movable, message.OtherWaitMS = true, uint32(wait.Milliseconds())
+	// shouldRetry ends a call with less than minRetryTime left.
+	if mayRefuse && time.Until(c.deadline) > 2*minRetryTime {
+		wait, ok := d.fleet.otherUpstreamWait(time.Now(), c.service, server, c.tried)
+		message.Movable, message.OtherWaitMS = ok, uint32(wait.Milliseconds())
 	}
 	p := &pendingAttempt{done: make(chan attemptResult, 1)}
 	if member.self {
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -12,6 +12,7 @@
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/runqueue"
 )
 
 // dottedIDs is a protocol in which a call's id is the id of the request that made it,
@@ -66,6 +67,21 @@
 	}
 }
 
+// Guards against a call that is ordered by an objective after its own deadline, and against
+// charging the calls of a tree to no workspace.
+func TestQueueGetsWhatTheAttemptCarries(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	r := &run{deadline: now.Add(time.Second), objective: now.Add(3 * time.Second), attempt: &wire.Attempt{
+		Route: "r", Movable: true, OtherWaitMS: 7, Context: wire.Context{Importance: 9, CallerWorkspace: "w", Depth: 1}}}
+	want := runqueue.Attempt{Importance: 9, Deadline: r.deadline, Objective: r.deadline, Workspace: "w", Route: "r",
+		MoreToCome: true, Movable: true, OtherWait: 7 * time.Millisecond}
+	g.Expect(r.queueAttempt()).To(Equal(want))
+	r.objective, r.attempt.Context = time.Time{}, wire.Context{Importance: 9, Workspace: "own", CallerWorkspace: "w"}
+	want.Objective, want.Workspace, want.MoreToCome = time.Time{}, "own", false
+	g.Expect(r.queueAttempt()).To(Equal(want))
+}
+
 // A 500 counts as a failure of the backend server only if no call of the run can have
 // caused it. Otherwise one failing service would count at every service that calls it.
 func TestFailuresOfCallsAreNotServerFailures(t *testing.T) {
