--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -41,7 +41,7 @@
 	depth           uint8     // number of known calls above it in the call tree
 	objective       time.Time // of the latency of the call tree; zero: none
 	idempotent      bool
-	attempts        int // greatest number of attempts that may reach a backend server
+	attempts        int           // greatest number of attempts that may reach a backend server
 	latencyTarget   time.Duration // latency objective of the route; 0: none
 	deadline        time.Time
 	request         wire.Request
--- a/internal/process/agent/zones_test.go
+++ b/internal/process/agent/zones_test.go
@@ -35,7 +35,7 @@
 func zonesOfPicks(f *fleet, now time.Time, n int) map[string]int {
 	count := map[string]int{}
 	for i := range n {
-		c := &call{requestID: fmt.Sprint(i), route: "read", service: "store", latencyTarget: 250 * time.Millisecond, arrived: now}
+		c := &call{requestID: fmt.Sprint(i), route: "read", service: "store", latencyTarget: 250 * time.Millisecond, objective: now.Add(250 * time.Millisecond)}
 		if server, m, ok := f.pickUpstream(now, c); ok {
 			f.attemptFinished(now, "store", server, 1)
 			f.loadReported("store", server, &wire.Load{Number: uint64(1000 + i), Limit: 50, ServiceTime: 20 * time.Millisecond})
