server speed: the service time follows what a backend server reports

Cause: on services whose servers share machines, a server becomes 4 to 12 times slower many times per second; the average over 64 runs shows it after these runs have ended. Attempts carry what is left of the route's objective. Services without the value are served as before.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -174,6 +174,9 @@
 	Waiting     int           `cbor:"3,keyasint"` // requests in the daemon's queue
 	Limit       int           `cbor:"4,keyasint"` // the maximum of Running
 	ServiceTime time.Duration `cbor:"5,keyasint"` // smoothed service time of a request; 0 if not measured
+	// Slowdown is how long work takes at this moment, in percent of the normal time; 0: the
+	// server does not report it. ServiceTime includes it.
+	Slowdown int `cbor:"6,keyasint,omitempty"`
 }
 
 // AnswerAck confirms that an Answer arrived, so that the executing daemon need not
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -210,6 +210,7 @@
 		{"tarragon_members_live", "Members, this one included, that take part in the fleet.", func() float64 { return float64(a.fleet.membersDigest(time.Now()).Count) }},
 		{"tarragon_status_left_out", "Entries of arrivals, runs and usage for which the last status was too long.", func() float64 { return float64(a.statusLeftOut.Load()) }},
 		{"tarragon_runs", "Attempts running or queued at this host.", func() float64 { return float64(a.executor.inProgress()) }},
+		{"tarragon_server_slowdown_percent", "How long work takes at the backend server, in percent of the normal time, 0 if it does not report it.", a.executor.slowdown},
 		{"tarragon_in_flight", "Requests from callers and from the backend server that this daemon is handling.", func() float64 { return float64(a.entry.inFlight.Load()) }},
 		{"tarragon_least_share", "Smallest share that the shedding plan admits of the requests of a route and importance.", a.fleet.leastShare},
 	} {
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -269,6 +269,9 @@
 		Request: c.request, RequestID: c.requestID, Origin: c.origin,
 		Movable: mayRefuse && d.fleet.hasOtherUpstream(c.service, server, c.tried),
 	}
+	if left := c.latencyTarget - time.Since(c.arrived); c.latencyTarget > 0 && left > 0 {
+		message.Context.ObjectiveMS = uint32(left.Milliseconds()) + 1
+	}
 	p := &pendingAttempt{done: make(chan attemptResult, 1)}
 	if member.self {
 		d.addPending(message.ID, p)
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -9,9 +9,11 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
 	"tarragonshore.example/tarragonshore/internal/request/runqueue"
+	"tarragonshore.example/tarragonshore/internal/request/serverspeed"
 	"tarragonshore.example/tarragonshore/internal/request/shedding"
 )
 
@@ -50,6 +52,8 @@
 	cancel    context.CancelFunc // set once it has started
 	calls     map[string]int     // number of calls that it made, by route
 	abandoned bool               // nothing waits for the answer any more
+	// serverLoad is what the backend server reported with its response; nil: nothing.
+	serverLoad *ServerLoad
 }
 
 // outgoingAnswer is an answer to be sent once the lock is released.
@@ -78,6 +82,8 @@
 	callEstimator                      *shedding.CallEstimator
 	loadNumber                         uint64
 	draining                           bool
+	speed                              serverspeed.Speed
+	returnLines                        *logging.Limiter
 	// queued has an element if expireQueued has to be woken.
 	queued chan struct{}
 	wg     sync.WaitGroup
@@ -88,7 +94,7 @@
 		protocol: protocol, server: s, backend: x, metrics: m, log: log,
 		queue: runqueue.New(), runs: make(map[wire.AttemptID]*run),
 		startedByRequest: make(map[string]*run), callEstimator: shedding.NewCallEstimator(),
-		queued: make(chan struct{}, 1),
+		queued: make(chan struct{}, 1), returnLines: logging.NewLimiter(maxReturnLines),
 	}
 }
 
@@ -183,10 +189,12 @@
 // reports that arrive out of order. Numbers keep increasing across restarts of the
 // daemon, since they start from the clock. The caller holds mu.
 func (e *executor) load() *wire.Load {
-	e.loadNumber = max(e.loadNumber+1, uint64(time.Now().UnixNano()))
+	now := time.Now()
+	e.loadNumber = max(e.loadNumber+1, uint64(now.UnixNano()))
+	e.applySpeed(now)
 	return &wire.Load{
 		Number: e.loadNumber, Running: e.queue.Running(), Waiting: e.queue.Waiting(),
-		Limit: e.queue.Limit(), ServiceTime: e.queue.ServiceTime(),
+		Limit: e.queue.Limit(), ServiceTime: e.queue.ServiceTime(), Slowdown: e.speed.Percent(now),
 	}
 }
 
@@ -249,7 +257,9 @@
 		if e.startedByRequest[r.attempt.RequestID] == r {
 			delete(e.startedByRequest, r.attempt.RequestID)
 		}
+		slower := e.reportSpeed(now, r, sample)
 		actions := e.queue.Finish(now, r.attempt.ID, sample)
+		e.applySpeed(now)
 		if sample > 0 {
 			e.callEstimator.RecordRun(r.attempt.Route, serviceTime)
 		}
@@ -259,6 +269,14 @@
 		if e.callsAttributed && answer.Response != nil && answer.Response.Status < http.StatusInternalServerError {
 			e.callEstimator.RecordCalls(r.attempt.Route, r.calls)
 		}
+		for _, id := range actions.Start {
+			if started, ok := e.runs[id]; ok {
+				started.started = now // returnLate must not take it for waiting
+			}
+		}
+		if slower {
+			e.returnLate(now, out)
+		}
 		answer.Load = e.load()
 		if !r.abandoned {
 			*out = append(*out, outgoingAnswer{r.receiver, answer})
@@ -308,6 +326,7 @@
 		return answer
 	}
 	fields := e.protocol.ReadResponse(response)
+	r.serverLoad = fields.Load
 	switch {
 	case fields.NotExecuted:
 		answer.Refusal = wireRefusal(problem.New(problem.KindOverloaded, "the backend server did not run the request: status "+http.StatusText(response.Status)).WithRetryAfter(briefRetryAfter))
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -85,6 +85,16 @@
 	Stamped bool
 	// NotExecuted is true if the backend server states that it did not run the request.
 	NotExecuted bool
+	// Load is the load that the backend server reports; nil: it reports none.
+	Load *ServerLoad
+}
+
+// ServerLoad is the load of a backend server as it reports it itself.
+type ServerLoad struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes at this moment, in percent of the normal time; 0: the
+	// server does not report it.
+	Slowdown int
 }
 
 // Protocol reads and writes the header fields of the messages that callers and backend
--- /dev/null
+++ b/internal/process/agent/speed.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/serverspeed"
+)
+
+// maxReturnLines is the number of log lines per second about returned attempts.
+const maxReturnLines = 1
+
+// reportSpeed applies the speed that the backend server reported with the response to a run.
+// It returns true if the server has become slower. The caller holds mu.
+func (e *executor) reportSpeed(now time.Time, r *run, sample time.Duration) (slower bool) {
+	load := r.serverLoad
+	switch {
+	case load != nil && load.Slowdown > 0:
+		slower = e.speed.Report(now, load.Slowdown)
+		e.speed.RecordRun(sample)
+	case sample > 0:
+		e.speed.Forget() // a complete response without the value
+	}
+	e.applySpeed(now)
+	return slower
+}
+
+// applySpeed sets the service time of the queue if the server reports its speed. The caller
+// holds mu.
+func (e *executor) applySpeed(now time.Time) {
+	if e.speed.Known() {
+		e.queue.SetServiceTime(e.speed.ServiceTime(now))
+	}
+}
+
+// returnLate refuses, as not executed, the waiting attempts that the slower server cannot
+// finish within their objectives and that their senders can send elsewhere. The caller holds
+// mu.
+func (e *executor) returnLate(now time.Time, out *[]outgoingAnswer) {
+	if e.queue.Waiting() == 0 {
+		return
+	}
+	queued := make([]*run, 0, e.queue.Waiting())
+	for _, r := range e.runs {
+		if r.started.IsZero() {
+			queued = append(queued, r)
+		}
+	}
+	slices.SortFunc(queued, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.attempt.Context.Importance, b.attempt.Context.Importance), a.arrived.Compare(b.arrived))
+	})
+	waiting := make([]serverspeed.Waiting, len(queued))
+	for i, r := range queued {
+		waiting[i] = serverspeed.Waiting{Arrived: r.arrived, Objective: r.latencyObjective(), Movable: r.attempt.Movable}
+	}
+	returned := 0
+	refused := problem.New(problem.KindOverloaded, "the backend server has become slower").WithRetryAfter(briefRetryAfter)
+	for _, i := range e.speed.Late(now, waiting, e.queue.Limit()) {
+		attempt := queued[i].attempt
+		if !e.queue.Cancel(attempt.ID) {
+			continue
+		}
+		delete(e.runs, attempt.ID)
+		*out = append(*out, outgoingAnswer{queued[i].receiver, e.refusalAnswer(attempt, refused)})
+		e.metrics.RecordReturned(attempt.Pool)
+		returned++
+	}
+	if returned == 0 {
+		return
+	}
+	if ok, dropped := e.returnLines.Allow(now); ok {
+		logging.InfoEvent("executor", "returned", "attempts", returned, "waiting", e.queue.Waiting(), "slowdown", e.speed.Percent(now),
+			"service_ms", e.queue.ServiceTime().Milliseconds(), "lines_dropped", dropped)
+	}
+}
+
+// latencyObjective returns the time of the latency objective of an attempt, zero if it has
+// none or it has passed.
+func (r *run) latencyObjective() time.Time {
+	if ms := r.attempt.Context.ObjectiveMS; ms > 0 {
+		return r.arrived.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return time.Time{}
+}
+
+// slowdown returns the current speed of the backend server in percent of its normal service
+// time, 0 if it does not report it, as a gauge.
+func (e *executor) slowdown() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return float64(e.speed.Percent(time.Now()))
+}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -36,6 +36,7 @@
 	repeatedIDs   metric.Int64Counter
 	zoneAttempts  metric.Int64Counter
 	zoneBytes     metric.Int64Counter
+	returned      metric.Int64Counter
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -143,6 +144,10 @@
 		metric.WithDescription("Bytes of the requests and responses of these attempts, without the overhead of the peer link, by pool and by zone.")); err != nil {
 		return err
 	}
+	if m.returned, err = m.meter.Int64Counter("tarragon_returned_attempts",
+		metric.WithDescription("Attempts returned from the queue of a backend server that had become slower, by pool.")); err != nil {
+		return err
+	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links that came up or went down, by event."))
 	return err
@@ -204,6 +209,14 @@
 	m.zoneBytes.Add(context.Background(), int64(bytes), labels)
 }
 
+// RecordReturned records an attempt that was returned from the queue of a slower server.
+func (m *Metrics) RecordReturned(pool string) {
+	if m == nil {
+		return
+	}
+	m.returned.Add(context.Background(), 1, m.withLabels("pool", pool))
+}
+
 // RecordQueueDelay records how long an attempt waited in the queue for the backend
 // server.
 func (m *Metrics) RecordQueueDelay(pool string, delay time.Duration) {
--- a/internal/request/zonespill/replay_test.go
+++ b/internal/request/zonespill/replay_test.go
@@ -15,6 +15,7 @@
 
 	"tarragonshore.example/tarragonshore/internal/request/placement"
 	"tarragonshore.example/tarragonshore/internal/request/runqueue"
+	"tarragonshore.example/tarragonshore/internal/request/serverspeed"
 	"tarragonshore.example/tarragonshore/internal/request/shedding"
 	"tarragonshore.example/tarragonshore/internal/request/zonespill"
 )
@@ -47,6 +48,8 @@
 	demand func(at time.Duration, zone int) float64
 	// slowdown returns the factor of the service time of a server, 0: it is gone.
 	slowdown func(at time.Duration, server int) float64
+	// reportsSpeed is true if the servers report their slowdown with each response.
+	reportsSpeed bool
 	// path returns the time of a message between two zones.
 	path func(at time.Duration, from, to int) time.Duration
 }
@@ -54,6 +57,7 @@
 // outcome sums what happened in a replay after its first 3 s.
 type outcome struct {
 	answered, refused, left int
+	late                    int           // answered after the objective
 	slow                    int           // answers between zones a and c after 6 s
 	waited                  time.Duration // in queues, over all answered requests
 	// shares holds the share of zone c's traffic that leaves, after each plan.
@@ -61,6 +65,7 @@
 }
 
 func (o *outcome) add(other outcome) {
+	o.late += other.late
 	o.answered, o.refused, o.left, o.waited = o.answered+other.answered, o.refused+other.refused, o.left+other.left, o.waited+other.waited
 }
 
@@ -78,6 +83,7 @@
 	name    string
 	zone    int
 	speed   float64
+	now     serverspeed.Speed // as it reports it
 	queue   *runqueue.Queue
 	calls   *shedding.CallEstimator
 	number  uint64
@@ -94,6 +100,7 @@
 	queued   time.Duration
 	tried    []string
 	serverAt int
+	started  bool
 }
 
 type event struct {
@@ -228,7 +235,7 @@
 	q.serverAt = int(name[1] - '0')
 	s := r.servers[q.serverAt]
 	r.after(r.pathTime(zone, s.zone), func() {
-		q.queued = r.now
+		q.queued, q.started = r.now, false
 		if !s.alive {
 			r.answer(q, placement.Refused, 0)
 			return
@@ -243,6 +250,7 @@
 	s := r.servers[i]
 	for _, id := range actions.Start {
 		q := s.pending[id]
+		q.started = true
 		took := time.Duration(float64(serviceTime) / s.speed * max(1, r.slowdown(r.now, i)) * (0.5 + r.rng.ExpFloat64()/2))
 		r.after(took, func() {
 			delete(s.pending, id)
@@ -251,7 +259,13 @@
 				r.outcome.waited += waited
 			}
 			s.calls.RecordRun("read", took)
+			slower := r.reportsSpeed && s.now.Report(r.clock(), int(100*r.slowdown(r.now, i)))
+			s.now.RecordRun(took)
+			s.queue.SetServiceTime(s.now.ServiceTime(r.clock()))
 			r.act(i, s.queue.Finish(r.clock(), id, took))
+			if slower {
+				r.returnLate(s)
+			}
 			r.answer(q, placement.Succeeded, took+waited)
 		})
 	}
@@ -262,6 +276,26 @@
 	}
 }
 
+// returnLate returns waiting attempts of a server that has become slower.
+func (r *replay) returnLate(s *server) {
+	var queued []*request
+	for _, q := range s.pending {
+		if !q.started {
+			queued = append(queued, q)
+		}
+	}
+	slices.SortFunc(queued, func(a, b *request) int { return cmp.Compare(a.queued, b.queued) })
+	waiting := make([]serverspeed.Waiting, len(queued))
+	for i, q := range queued {
+		waiting[i] = serverspeed.Waiting{Arrived: startTime.Add(q.queued), Objective: startTime.Add(q.arrived + objective), Movable: len(q.tried) < 4}
+	}
+	for _, i := range s.now.Late(r.clock(), waiting, s.queue.Limit()) {
+		s.queue.Cancel(queued[i].id)
+		delete(s.pending, queued[i].id)
+		r.answer(queued[i], placement.Refused, r.now-queued[i].queued)
+	}
+}
+
 func (s *server) load() placement.Load {
 	return placement.Load{Running: s.queue.Running(), Waiting: s.queue.Waiting(), Limit: s.queue.Limit(), ServiceTime: s.queue.ServiceTime()}
 }
@@ -282,6 +316,9 @@
 		}
 		if r.counts() {
 			r.outcome.answered++
+			if r.now-q.arrived > objective {
+				r.outcome.late++
+			}
 			if s.zone != zone {
 				r.outcome.left++
 				if s.zone+zone == 2 && r.now > 6*time.Second {
@@ -444,3 +481,26 @@
 	s := scenarios["narrowed link"]
 	g.Expect(run(s, true, 3).slow).To(BeNumerically("<", 0.2*float64(run(s, false, 3).slow)))
 }
+
+// Guards against senders that learn of a slower machine only from runs that have ended. Each
+// server is 4 to 12 times slower in a tenth of all periods of 200 ms, on its own.
+func TestReportedSpeedKeepsObjectives(t *testing.T) {
+	g := NewWithT(t)
+	s := scenario{duration: 9 * time.Second, utilization: 0.5, slowdown: func(at time.Duration, server int) float64 {
+		period := rand.New(rand.NewPCG(uint64(at/(200*time.Millisecond)), uint64(server)))
+		if period.IntN(10) > 0 {
+			return 1
+		}
+		return 4 + 8*period.Float64()
+	}}
+	former, reported := outcome{}, outcome{}
+	for seed := range uint64(2) {
+		s.reportsSpeed = false
+		former.add(run(s, true, seed))
+		s.reportsSpeed = true
+		reported.add(run(s, true, seed))
+	}
+	t.Logf("averaged: %v, %d late; reported: %v, %d late", former, former.late, reported, reported.late)
+	g.Expect(reported.late).To(BeNumerically("<", former.late))
+	g.Expect(reported.meanWait()).To(BeNumerically("<", former.meanWait()*8/10))
+}
