zone shares: an avoided path is tried again by one attempt per second

Cause: the path time of an avoided zone decayed with time, so that each daemon sent all of its attempts there again until enough of them had come back late. Change: a zone is avoided until newer attempts are fast; one attempt per second and daemon tries it.

--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -288,6 +288,7 @@
 		return "", m, false
 	}
 	table.RecordStart(server)
+	f.zones.paths.RecordStart(now, owner.status.Zone)
 	return server, memberAddress{name: owner.name, address: owner.address, self: owner.self, zone: owner.status.Zone}, true
 }
 
--- a/internal/request/zonespill/replay_test.go
+++ b/internal/request/zonespill/replay_test.go
@@ -129,7 +129,7 @@
 	servers []*server
 	tables  []*placement.Table // by daemon
 	plans   []*zonespill.Plan  // by zone, since the daemons of a zone compute the same
-	paths   []*zonespill.Paths // by zone
+	paths   []*zonespill.Paths // by daemon
 	shed    *shedding.Plan
 	arrived []*shedding.Rate // by zone
 	rates   []float64        // by zone, as reported
@@ -166,10 +166,10 @@
 			queue: q, calls: shedding.NewCallEstimator(), pending: map[runqueue.ID]*request{}, alive: true})
 	}
 	for zone, name := range zoneNames {
-		r.plans, r.paths = append(r.plans, zonespill.NewPlan(name)), append(r.paths, zonespill.NewPaths(name))
+		r.plans = append(r.plans, zonespill.NewPlan(name))
 		r.arrived, r.rates = append(r.arrived, &shedding.Rate{}), append(r.rates, 0)
 		for range daemonsPerZone {
-			r.tables = append(r.tables, &placement.Table{})
+			r.tables, r.paths = append(r.tables, &placement.Table{}), append(r.paths, zonespill.NewPaths(name))
 		}
 		r.after(0, func() { r.arrive(zone) })
 	}
@@ -224,7 +224,7 @@
 
 func (r *replay) attempt(q *request) {
 	zone := q.daemon / daemonsPerZone
-	pick := placement.Request{Exclude: q.tried, Objective: max(1, objective-(r.now-q.arrived)), SlowZones: r.paths[zone].TooSlow(r.clock(), objective)}
+	pick := placement.Request{Exclude: q.tried, Objective: max(1, objective-(r.now-q.arrived)), SlowZones: r.paths[q.daemon].TooSlow(r.clock(), objective)}
 	name, ok := r.tables[q.daemon].Pick(r.clock(), r.rng, pick)
 	if !ok || len(q.tried) == 4 {
 		r.refuse()
@@ -234,6 +234,7 @@
 	q.tried, q.sent = append(q.tried, name), r.now
 	q.serverAt = int(name[1] - '0')
 	s := r.servers[q.serverAt]
+	r.paths[q.daemon].RecordStart(r.clock(), zoneNames[s.zone])
 	r.after(r.pathTime(zone, s.zone), func() {
 		q.queued, q.started = r.now, false
 		if !s.alive {
@@ -309,7 +310,7 @@
 		table := r.tables[q.daemon]
 		table.RecordResult(r.clock(), s.name, result)
 		table.Report(s.name, number, load)
-		r.paths[zone].Record(r.clock(), zoneNames[s.zone], r.now-q.sent-upstreamTime)
+		r.paths[q.daemon].Record(r.clock(), zoneNames[s.zone], r.now-q.sent-upstreamTime)
 		if result != placement.Succeeded {
 			r.attempt(q)
 			return
--- a/internal/request/zonespill/zonespill_test.go
+++ b/internal/request/zonespill/zonespill_test.go
@@ -118,6 +118,7 @@
 	now := time.Unix(1000, 0)
 	p := NewPaths("a")
 	for range 100 {
+		p.RecordStart(now, "c")
 		p.Record(now, "a", 50*time.Millisecond)
 		p.Record(now, "b", 52*time.Millisecond)
 		p.Record(now, "c", 200*time.Millisecond)
@@ -125,7 +126,17 @@
 	g.Expect(p.TooSlow(now, 250*time.Millisecond)).To(Equal([]string{"c"}))
 	g.Expect(p.TooSlow(now, time.Second)).To(BeEmpty())
 	g.Expect(p.TooSlow(now, 0)).To(BeEmpty(), "no objective")
-	g.Expect(p.TooSlow(now.Add(10*time.Second), 250*time.Millisecond)).To(BeEmpty())
+	now = now.Add(probeAfter)
+	g.Expect(p.TooSlow(now, 250*time.Millisecond)).To(BeEmpty(), "to be tried again")
+	p.RecordStart(now, "c")
+	g.Expect(p.TooSlow(now, 250*time.Millisecond)).To(Equal([]string{"c"}), "by one attempt")
+	p.Record(now, "c", 200*time.Millisecond)
+	for range 3 {
+		now = now.Add(probeAfter)
+		p.RecordStart(now, "c")
+		p.Record(now, "c", 5*time.Millisecond)
+	}
+	g.Expect(p.TooSlow(now, 250*time.Millisecond)).To(BeEmpty(), "three attempts have shown the recovery")
 }
 
 // Guards against large uploads that cross zones while small requests could leave instead.
