--- a/internal/request/zonespill/replay_test.go
+++ b/internal/request/zonespill/replay_test.go
@@ -471,7 +471,7 @@
 	for _, name := range []string{"calm, 80% of the slots", "servers of a zone gone"} {
 		shares := run(scenarios[name], true, 3).shares
 		settled := shares[len(shares)-8:]
-		g.Expect(slices.Max(settled)-slices.Min(settled)).To(BeNumerically("<", 0.08), name)
+		g.Expect(slices.Max(settled)-slices.Min(settled)).To(BeNumerically("<", 0.08), "%s", name)
 	}
 }
 
