Limit the starts at cold backend servers

Cause: a backend server that has just started handles a few requests per second, and the attempts that waited for the former process start at it within milliseconds. Change: package warmup decides, from the server's reports and from signs of a restart, when a request may start. runqueue asks it before each start and reports the reduced limit; the executor refuses what a cold server cannot start within 500 ms and the sender can send elsewhere. After a sign of a restart the daemon asks the health path. The tables carry the rate, the settings the tolerance.

--- a/cmd/tarragon-agent/main.go
+++ b/cmd/tarragon-agent/main.go
@@ -22,6 +22,7 @@
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/process/rateshare"
 	"tarragonshore.example/tarragonshore/internal/process/settings"
+	"tarragonshore.example/tarragonshore/internal/request/warmup"
 	"tarragonshore.example/tarragonshore/platform"
 )
 
@@ -140,6 +141,7 @@
 		Tolerance: rateshare.Tolerance{
 			Window: s.Rates.Window, Overage: s.Rates.Overage, Slack: float64(s.Rates.Slack),
 		},
+		WarmUp: warmup.Tolerance{Overage: s.WarmUp.Overage, Slack: s.WarmUp.Slack},
 	}
 	cfg.Listen.Caller, cfg.Listen.Ready, cfg.Listen.Announce = s.Listen.Caller, s.Listen.Ready, s.Listen.Announce
 	cfg.Listen.Peer, cfg.Listen.Admin = s.Listen.Peer, s.Listen.Admin
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -36,6 +36,7 @@
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/process/rateshare"
+	"tarragonshore.example/tarragonshore/internal/request/warmup"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 )
 
@@ -61,6 +62,9 @@
 	// maxDatagramBytes is the size of the receive buffer for datagrams, the greatest that
 	// UDP allows.
 	maxDatagramBytes = 64 << 10
+	// maxWarmUpLines is the number of log lines per second about the limit for a cold
+	// backend server.
+	maxWarmUpLines = 5
 )
 
 // Config holds the settings of an agent.
@@ -82,6 +86,8 @@
 	RetryLimit float64
 	// Tolerance states how far workspaces may exceed their rates.
 	Tolerance rateshare.Tolerance
+	// WarmUp states how many requests may reach a cold backend server.
+	WarmUp warmup.Tolerance
 }
 
 // Dependencies holds the dependencies of an agent.
@@ -124,6 +130,8 @@
 	directoryEpoch atomic.Uint64
 	// unlisted has an element if a member has found that the directory lacks this daemon.
 	unlisted chan struct{}
+	// warmUpLog bounds the log lines about the limit for a cold server.
+	warmUpLog *logging.Limiter
 	// question is the question to a peer about its tables that waits for a reply.
 	question atomic.Pointer[pendingQuestion]
 
@@ -135,11 +143,14 @@
 // New returns an agent that has not started.
 func New(cfg Config, deps Dependencies) *Agent {
 	log := newRequestLog(deps.Protocol.Stamp)
-	a := &Agent{cfg: cfg, deps: deps, incarnation: uint64(time.Now().UnixNano()), unlisted: make(chan struct{}, 1)}
+	a := &Agent{cfg: cfg, deps: deps, incarnation: uint64(time.Now().UnixNano()), unlisted: make(chan struct{}, 1),
+		warmUpLog: logging.NewLimiter(maxWarmUpLines)}
 	a.directoryEpoch.Store(uint64(time.Now().UnixMilli()))
 	a.tables = newTablesFollower(deps.Store, cfg.RevokeBound, cfg.Member, cfg.Zone)
 	a.tables.peers, a.tables.metrics = a, deps.Metrics
 	a.server = newServerState(cfg.HeartbeatInterval, cfg.ServerAddress)
+	a.server.service = cfg.Service
+	a.server.warmUp, a.server.metrics = newWarmUpLimiter(cfg.HeartbeatInterval, cfg.WarmUp), deps.Metrics
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation, cfg.Tolerance)
 	a.executor = newExecutor(deps.Protocol, a.server, backend.NewExchanger(maxBodyBytes), deps.Metrics, log)
 	a.dispatcher = newDispatcher(a.fleet, a.executor, cfg.RetryLimit, deps.Metrics, log)
@@ -151,7 +162,10 @@
 		peer.Config{PingInterval: linkPingInterval, IdlePingInterval: idleLinkPingInterval, MinCheckInterval: linkCheckInterval,
 			SilenceTimeout: linkSilenceLimit, DialTimeout: peer.DefaultConfig.DialTimeout, Dial: deps.Network.Dial}, a)
 	a.dispatcher.hub = a.hub
-	a.tables.onChange = a.fleet.pruneArrivals
+	a.tables.onChange = func(c *catalog.Catalog) {
+		a.fleet.pruneArrivals(c)
+		a.server.setTables(time.Now(), c)
+	}
 	a.tables.announce = func() { a.broadcast(0) }
 	a.server.onChange = a.serverChanged
 	a.ctx, a.cancel = context.WithCancel(context.Background())
@@ -187,7 +201,7 @@
 	}
 	for _, loop := range []func(){
 		func() { a.tables.follow(a.ctx) }, func() { a.executor.expireQueued(a.ctx) },
-		a.receiveStatuses, a.sendStatuses, a.runPlanner, a.syncDirectory, a.preopenLinks,
+		a.receiveStatuses, a.sendStatuses, a.runPlanner, a.syncDirectory, a.preopenLinks, a.watchWarmUp,
 	} {
 		a.wg.Go(loop)
 	}
@@ -211,6 +225,12 @@
 		{"tarragon_status_left_out", "Entries of arrivals, runs and usage for which the last status was too long.", func() float64 { return float64(a.statusLeftOut.Load()) }},
 		{"tarragon_runs", "Attempts running or queued at this host.", func() float64 { return float64(a.executor.inProgress()) }},
 		{"tarragon_in_flight", "Requests from callers and from the backend server that this daemon is handling.", func() float64 { return float64(a.entry.inFlight.Load()) }},
+		{"tarragon_warm_up_limited", "1 while requests to the backend server are limited since it is cold or may have restarted.", func() float64 {
+			if state, _ := a.server.warmUpState(time.Now()); state.limited {
+				return 1
+			}
+			return 0
+		}},
 		{"tarragon_least_share", "Smallest share that the shedding plan admits of the requests of a route and importance.", a.fleet.leastShare},
 	} {
 		if err := a.deps.Metrics.RegisterGauge(gauge.name, gauge.description, gauge.read); err != nil {
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +52,8 @@
 	cancel    context.CancelFunc // set once it has started
 	calls     map[string]int     // number of calls that it made, by route
 	abandoned bool               // nothing waits for the answer any more
+	// otherServer is true if the server responded that the request is for another one.
+	otherServer bool
 }
 
 // outgoingAnswer is an answer to be sent once the lock is released.
@@ -78,18 +82,21 @@
 	callEstimator                      *shedding.CallEstimator
 	loadNumber                         uint64
 	draining                           bool
+	lastResponse                       time.Time // when a run last ended with a response
 	// queued has an element if expireQueued has to be woken.
 	queued chan struct{}
 	wg     sync.WaitGroup
 }
 
 func newExecutor(protocol Protocol, s *serverState, x *backend.Exchanger, m *metrics.Metrics, log *requestLog) *executor {
-	return &executor{
+	e := &executor{
 		protocol: protocol, server: s, backend: x, metrics: m, log: log,
 		queue: runqueue.New(), runs: make(map[wire.AttemptID]*run),
 		startedByRequest: make(map[string]*run), callEstimator: shedding.NewCallEstimator(),
 		queued: make(chan struct{}, 1),
 	}
+	e.queue.SetStartLimiter(startLimiter{s})
+	return e
 }
 
 // submit queues an attempt that arrived on a link or from the local dispatcher.
@@ -143,6 +150,7 @@
 		delete(e.runs, refusal.ID)
 		out = append(out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, queueRefusal(refusal.Reason))})
 	}
+	e.refuseExcess(&out)
 	if e.queue.Waiting() > 0 {
 		select {
 		case e.queued <- struct{}{}:
@@ -159,6 +167,31 @@
 	}
 }
 
+// refuseExcess refuses the waiting attempts that a cold server cannot start soon and that
+// their senders can send to other upstreams: the least important first, of these the
+// newest. The caller holds mu.
+func (e *executor) refuseExcess(out *[]outgoingAnswer) {
+	excess := e.queue.Excess(time.Now())
+	if excess == 0 {
+		return
+	}
+	var movable []*run
+	for _, r := range e.runs {
+		if r.started.IsZero() && r.attempt.Movable {
+			movable = append(movable, r)
+		}
+	}
+	slices.SortFunc(movable, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.attempt.Context.Importance, a.attempt.Context.Importance), b.arrived.Compare(a.arrived))
+	})
+	for _, r := range movable[:min(excess, len(movable))] {
+		if e.queue.Cancel(r.attempt.ID) {
+			delete(e.runs, r.attempt.ID)
+			*out = append(*out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, queueRefusal(runqueue.ReasonStartsLimited))})
+		}
+	}
+}
+
 // queueRefusal returns the refusal for the queue's reason.
 func queueRefusal(reason runqueue.Reason) *problem.Problem {
 	switch reason {
@@ -249,6 +282,15 @@
 		if e.startedByRequest[r.attempt.RequestID] == r {
 			delete(e.startedByRequest, r.attempt.RequestID)
 		}
+		// The sign of a restart and the end of the run apply before the next attempt starts.
+		sign := e.restartSign(now, r, err)
+		if sign != "" {
+			e.server.mayHaveRestarted(now, sign)
+		}
+		e.server.runEnded(now, latestArrival(now, r, answer, sign))
+		if response != nil {
+			e.lastResponse = now
+		}
 		actions := e.queue.Finish(now, r.attempt.ID, sample)
 		if sample > 0 {
 			e.callEstimator.RecordRun(r.attempt.Route, serviceTime)
@@ -308,6 +350,7 @@
 		return answer
 	}
 	fields := e.protocol.ReadResponse(response)
+	r.otherServer = fields.OtherServer
 	switch {
 	case fields.NotExecuted:
 		answer.Refusal = wireRefusal(problem.New(problem.KindOverloaded, "the backend server did not run the request: status "+http.StatusText(response.Status)).WithRetryAfter(briefRetryAfter))
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -85,6 +85,15 @@
 	Stamped bool
 	// NotExecuted is true if the backend server states that it did not run the request.
 	NotExecuted bool
+	// OtherServer is true if it states that the request is for another server.
+	OtherServer bool
+}
+
+// HealthFields holds what a backend server reports on its health path.
+type HealthFields struct {
+	Server string // id of the server
+	// WarmUp is for how much longer the server is cold.
+	WarmUp time.Duration
 }
 
 // Protocol reads and writes the header fields of the messages that callers and backend
@@ -109,6 +118,9 @@
 	Stamp(header []wire.HeaderField) string
 	// ReadResponse reads the system's fields of a backend server's response.
 	ReadResponse(response *backend.Response) ServerResponseFields
+	// ReadHealth reads a response of the health path. ok is false if the server does not
+	// report that it is healthy, and for how long it is cold.
+	ReadHealth(status int, header http.Header) (fields HealthFields, ok bool)
 }
 
 // State is the state that a backend server reports in its heartbeats.
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -8,6 +8,9 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/process/metrics"
+	"tarragonshore.example/tarragonshore/internal/request/warmup"
+	"tarragonshore.example/tarragonshore/internal/version/catalog"
 )
 
 const (
@@ -26,8 +29,12 @@
 type serverState struct {
 	heartbeatInterval time.Duration
 	address           string // where the host's backend server listens
+	service           string // until a heartbeat names it
 	onChange          func(ServerView)
 	clock             bootClock
+	metrics           *metrics.Metrics
+	// suspected has an element if watchWarmUp has to be woken.
+	suspected chan struct{}
 
 	mu              sync.Mutex
 	last            Heartbeat
@@ -38,6 +45,9 @@
 	// drainingSince is the boot-clock time at which the server announced that it is
 	// draining, or deregistered; 0: it has not.
 	drainingSince time.Duration
+	tables        *catalog.Catalog // nil: not known
+	warmUp        *warmup.Limiter
+	healthPath    string // of the service, if it limits cold servers
 }
 
 // ServerView is the state of the backend server at one time.
@@ -47,7 +57,10 @@
 }
 
 func newServerState(heartbeatInterval time.Duration, address string) *serverState {
-	return &serverState{heartbeatInterval: heartbeatInterval, address: address, onChange: func(ServerView) {}}
+	return &serverState{
+		heartbeatInterval: heartbeatInterval, address: address, onChange: func(ServerView) {}, suspected: make(chan struct{}, 1),
+		warmUp: newWarmUpLimiter(heartbeatInterval, warmup.Tolerance{Overage: 1}),
+	}
 }
 
 // errOtherAddress rejects a heartbeat whose address is not the local backend server's.
@@ -68,6 +81,9 @@
 	if !sameStart {
 		s.deregistered, s.drainingSince = false, 0
 	}
+	if !sameStart && s.last.Server != "" {
+		s.suspect(now, warmup.SignOtherStart)
+	}
 	draining := s.deregistered || sameStart && s.last.State == StateDraining
 	if draining {
 		h.State = StateDraining // draining is final for one start of a server
@@ -77,6 +93,8 @@
 		s.markDraining()
 	}
 	s.warmUntil = now.Add(h.WarmUp)
+	s.applyWarmUpRate(now)
+	s.warmUp.Report(now, now.Add(-time.Duration(heartbeatAge*float64(s.heartbeatInterval))), h.WarmUp)
 	s.refusedUntil = time.Time{}
 	view := s.viewLocked(now)
 	s.mu.Unlock()
@@ -134,6 +152,7 @@
 	s.mu.Lock()
 	first := !now.Before(s.refusedUntil)
 	s.refusedUntil = now.Add(refusedTime)
+	s.suspect(now, warmup.SignConnectionRefused)
 	view := s.viewLocked(now)
 	s.mu.Unlock()
 	if first {
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -34,6 +34,8 @@
 	daemonTime    metric.Float64Histogram
 	skipped       metric.Int64Counter
 	repeatedIDs   metric.Int64Counter
+	restartSigns  metric.Int64Counter
+	healthQueries metric.Int64Counter
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -133,6 +135,14 @@
 		metric.WithDescription("Requests whose id had been sent to the backend server within the last 10 s.")); err != nil {
 		return err
 	}
+	if m.restartSigns, err = m.meter.Int64Counter("tarragon_backend_restart_signs",
+		metric.WithDescription("Signs that the backend server may have restarted, if its service limits cold servers, by sign.")); err != nil {
+		return err
+	}
+	if m.healthQueries, err = m.meter.Int64Counter("tarragon_backend_health_queries",
+		metric.WithDescription("Queries of the backend server's health path, by result: reported or failed.")); err != nil {
+		return err
+	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links that came up or went down, by event."))
 	return err
@@ -233,6 +243,27 @@
 	m.confirmations.Add(context.Background(), 1, m.withLabels("source", source, "result", result))
 }
 
+// RecordRestartSign records a sign that the backend server may have restarted.
+func (m *Metrics) RecordRestartSign(sign string) {
+	if m == nil {
+		return
+	}
+	m.restartSigns.Add(context.Background(), 1, m.withLabels("sign", sign))
+}
+
+// RecordHealthQuery records a query of the backend server's health path, and whether the
+// server reported how long it stays cold.
+func (m *Metrics) RecordHealthQuery(reported bool) {
+	if m == nil {
+		return
+	}
+	result := "reported"
+	if !reported {
+		result = "failed"
+	}
+	m.healthQueries.Add(context.Background(), 1, m.withLabels("result", result))
+}
+
 // RecordLinkEvent records that a peer link came up or went down.
 func (m *Metrics) RecordLinkEvent(event string) {
 	if m == nil {
--- a/internal/process/settings/agent.go
+++ b/internal/process/settings/agent.go
@@ -32,6 +32,10 @@
 	Retries struct {
 		Limit float64
 	}
+	WarmUp struct {
+		Overage float64
+		Slack   float64
+	}
 	Log struct {
 		Level string
 	}
@@ -71,6 +75,9 @@
 
 		fraction("retries", "limit", &a.Retries.Limit, "0.2", "Retries that may arrive at a service, as a fraction of the requests for it, over all levels of a call chain. Greater: more failed calls are recovered; smaller: less load is added while upstreams fail."),
 
+		number("warmup", "overage", &a.WarmUp.Overage, "1", 0, 100, "Factor by which the requests that reach a cold backend server in any second may exceed its rate in the tables. Greater: starts that were late are made up for; smaller: a server that fails just above its rate is safe."),
+		number("warmup", "slack", &a.WarmUp.Slack, "0", 0, 100000, "Number of requests by which that count may exceed the rate in addition to overage. Greater: a cold server gets requests sooner after a restart under load."),
+
 		choice("log", "level", &a.Log.Level, "info", logging.Levels, "Lowest level that is logged."),
 	}}
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -345,6 +345,16 @@
 		}}
 }
 
+// number declares a setting whose value is a number from low to high.
+func number(section, key string, target *float64, def string, low, high float64, help string) Setting {
+	return Setting{Section: section, Key: key, Type: "number", Default: def, Help: help, Bounds: fmt.Sprintf("%g to %g", low, high),
+		set: func(text string) bool {
+			value, err := strconv.ParseFloat(text, 64)
+			*target = value
+			return err == nil && value >= low && value <= high
+		}}
+}
+
 func boolean(section, key string, target *bool, def string, help string) Setting {
 	return Setting{Section: section, Key: key, Type: "boolean", Default: def, Bounds: "true or false", Help: help, set: func(text string) bool {
 		value, err := strconv.ParseBool(text)
--- a/internal/request/runqueue/runqueue.go
+++ b/internal/request/runqueue/runqueue.go
@@ -99,6 +99,7 @@
 	startRates  [classCount]startRate
 	serviceTime time.Duration
 	queueTime   time.Duration // smoothed queueing time of started attempts
+	limiter     StartLimiter  // may be nil
 }
 
 // New returns a queue without slots.
@@ -113,8 +114,12 @@
 // SetSlots sets the slots that the backend server announced.
 func (q *Queue) SetSlots(slots int) { q.slots = max(0, slots) }
 
-// Limit returns the number of attempts that may run concurrently.
-func (q *Queue) Limit() int {
+// Limit returns the number of attempts that may run concurrently, or, while starts are
+// limited, that run at once at the rate of the limit.
+func (q *Queue) Limit() int { return q.rateLimit(q.slotLimit()) }
+
+// slotLimit returns the number of attempts that may run concurrently.
+func (q *Queue) slotLimit() int {
 	if q.slots == 0 {
 		return 0
 	}
@@ -264,7 +269,7 @@
 
 // startWaiting starts waiting attempts while slots are free.
 func (q *Queue) startWaiting(now time.Time, actions Actions) Actions {
-	for len(q.running) < q.Limit() {
+	for len(q.running) < q.slotLimit() && q.mayStart(now) {
 		e := q.head()
 		if e == nil {
 			break
@@ -276,6 +281,7 @@
 		}
 		q.queueTime += (now.Sub(e.queuedAt) - q.queueTime) / smoothingRuns
 		q.running[e.ID] = now
+		q.recordStart(now)
 		q.startRates[e.class].add(now)
 		actions.Start = append(actions.Start, e.ID)
 	}
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -72,6 +72,18 @@
 	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// WarmUp says how many requests a backend server of a service handles after its start.
+type WarmUp struct {
+	Service string `cbor:"1,keyasint"`
+	// Time is how long a server stays cold after its start.
+	Time time.Duration `cbor:"2,keyasint,omitempty"`
+	// Rate is the number of requests per second that a cold server can handle, 0: not
+	// limited.
+	Rate float64 `cbor:"3,keyasint,omitempty"`
+	// HealthPath is the path at which a server reports how long it stays cold.
+	HealthPath string `cbor:"4,keyasint,omitempty"`
+}
+
 // Content is a published version as read, before New indexes it.
 type Content struct {
 	Version    Version     `cbor:"1,keyasint"`
@@ -79,6 +91,8 @@
 	Services   []string    `cbor:"3,keyasint,omitempty"`
 	Workspaces []Workspace `cbor:"4,keyasint,omitempty"`
 	Limits     Limits      `cbor:"5,keyasint"`
+	// WarmUps holds the services whose cold servers are limited.
+	WarmUps []WarmUp `cbor:"6,keyasint,omitempty"`
 }
 
 // Catalog is an indexed version.
@@ -89,6 +103,7 @@
 	workspacesByKey  map[tables.KeyDigest]*Workspace
 	workspacesByName map[string]*Workspace
 	limits           Limits
+	warmUps          map[string]WarmUp
 	fractions        map[string][]shedding.TrafficShare // traffic split by route name; each adds up to 1
 }
 
@@ -102,11 +117,15 @@
 		workspacesByKey:  make(map[tables.KeyDigest]*Workspace),
 		workspacesByName: make(map[string]*Workspace, len(content.Workspaces)),
 		limits:           content.Limits,
+		warmUps:          make(map[string]WarmUp, len(content.WarmUps)),
 		fractions:        make(map[string][]shedding.TrafficShare, len(content.Routes)),
 	}
 	for _, name := range content.Services {
 		c.services[name] = true
 	}
+	for _, w := range content.WarmUps {
+		c.warmUps[w.Service] = w
+	}
 	for i := range content.Routes {
 		route := &content.Routes[i]
 		if err := validate(route); err != nil {
@@ -155,6 +174,10 @@
 // HasService reports whether the version has a service with the given name.
 func (c *Catalog) HasService(name string) bool { return c.services[name] }
 
+// WarmUp returns how many requests a cold server of a service handles. The Rate of a
+// service without a limit is 0.
+func (c *Catalog) WarmUp(service string) WarmUp { return c.warmUps[service] }
+
 // Match returns, of the routes for the host, the one with the longest path prefix that
 // matches the path. The port in host is ignored unless a route's Host has one.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
