Idle connections that the server closed are a sign of a restart; tests of the signs and of the short queue

Cause: after a fast restart with few requests in flight only idle connections show it, which were replaced in silence. Change: the exchanger reports them.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -127,6 +127,10 @@
 //
 // An Exchanger is safe for concurrent use.
 type Exchanger struct {
+	// ClosedWhileIdle, if set, is called when an idle connection that should still be open
+	// turns out to have been closed or reset by the server, as after a restart.
+	ClosedWhileIdle func()
+
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	maxBody int64
 	// buffered is the size of the bodies that the exchanges in progress have read.
@@ -213,11 +217,18 @@
 		now := time.Now()
 		idle := now.Sub(c.lastUsed)
 		unprobed := e.Idempotent && idle < maxUnprobedIdle
-		if now.After(c.reuseUntil) || !e.Idempotent && idle > maxNonIdempotentIdle || !unprobed && !c.healthy() {
-			_ = c.Close()
-			continue
+		usable := !now.After(c.reuseUntil) && (e.Idempotent || idle <= maxNonIdempotentIdle)
+		if usable && !unprobed {
+			var closed bool
+			usable, closed = c.probe()
+			if closed && x.ClosedWhileIdle != nil {
+				x.ClosedWhileIdle()
+			}
 		}
-		return c, nil
+		if usable {
+			return c, nil
+		}
+		_ = c.Close()
 	}
 	raw, err := x.dial(ctx, "tcp", address)
 	if err != nil {
@@ -301,28 +312,29 @@
 	}
 }
 
-// healthy reports whether an idle connection is open and has no data to read. Data
-// that arrive while no request is in progress are a response to an earlier request.
-func (c *conn) healthy() bool {
+// probe reports whether an idle connection is healthy: open and without data to read, and
+// whether the server has closed or reset it. Data that arrive while no request is in
+// progress are a response to an earlier request.
+func (c *conn) probe() (healthy, closed bool) {
 	if c.reader.Buffered() > 0 {
-		return false
+		return false, false
 	}
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	healthy := false
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		healthy = errors.Is(err, unix.EAGAIN)
+		closed = !healthy && (err != nil || n == 0)
 		return true
 	})
-	return err == nil && healthy
+	return err == nil && healthy, closed
 }
 
 // exchange writes the request and reads the response. reusable is true if another
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -152,7 +152,9 @@
 	a.server.service = cfg.Service
 	a.server.warmUp, a.server.metrics = newWarmUpLimiter(cfg.HeartbeatInterval, cfg.WarmUp), deps.Metrics
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation, cfg.Tolerance)
-	a.executor = newExecutor(deps.Protocol, a.server, backend.NewExchanger(maxBodyBytes), deps.Metrics, log)
+	exchanger := backend.NewExchanger(maxBodyBytes)
+	exchanger.ClosedWhileIdle = func() { a.server.mayHaveRestarted(time.Now(), warmup.SignIdleConnectionClosed) }
+	a.executor = newExecutor(deps.Protocol, a.server, exchanger, deps.Metrics, log)
 	a.dispatcher = newDispatcher(a.fleet, a.executor, cfg.RetryLimit, deps.Metrics, log)
 	a.entry = &entryHandler{
 		protocol: deps.Protocol, tables: a.tables, fleet: a.fleet, executor: a.executor, dispatcher: a.dispatcher,
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -12,6 +12,7 @@
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
+	"tarragonshore.example/tarragonshore/internal/request/runqueue"
 )
 
 // dottedIDs is a protocol in which a call's id is the id of the request that made it,
@@ -123,3 +124,47 @@
 	e.callsAttributed = true
 	g.Expect(e.mayHaveMadeCall(now)).To(BeFalse(), "the ids of calls name their runs")
 }
+
+// Guards against a cold server whose queue holds attempts that other upstreams would run
+// at once. The least important of those that can be moved are refused as not executed;
+// the others wait.
+func TestQueueOfAColdServerIsShort(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s := limitedServer(t, now.Add(-2*time.Second))
+	cold := testHeartbeat("a", 5, 2, StateReady)
+	cold.WarmUp = time.Minute
+	_ = s.applyHeartbeat(now, cold)
+	e := newExecutor(dottedIDs{noHeaders{}}, s, nil, nil, nil)
+	e.queue.SetSlots(1)
+	e.queue.Offer(now, runqueue.Attempt{ID: wire.AttemptID{255}, Deadline: now.Add(time.Minute)}) // takes the slot
+	g.Expect(e.queue.Limit()).To(Equal(1))
+	answers := make(answersOf, 100)
+	refused := map[byte]bool{}
+	const each = 15
+	for n := range byte(3 * each) { // those that cannot be moved, then less and more important ones
+		e.submit(answers, &wire.Attempt{ID: wire.AttemptID{n}, Pool: "stock", Server: "a", Movable: n >= each,
+			Context: wire.Context{Importance: 3 - n/each, RemainingMS: 30_000}})
+	}
+	for len(answers) > 0 {
+		a := <-answers
+		g.Expect(a.Refusal.Executed).To(Equal(string(problem.ExecutedNo)))
+		refused[a.ID[0]] = true
+	}
+	g.Expect(refused).To(HaveLen(2*each), "all that can be moved, since the others fill the queue")
+	e.withdrawQueued("")
+	for len(answers) > 0 {
+		<-answers
+	}
+	for n := range byte(2 * each) {
+		e.submit(answers, &wire.Attempt{ID: wire.AttemptID{n + 100}, Pool: "stock", Server: "a", Movable: true,
+			Context: wire.Context{Importance: 3 - n/each, RemainingMS: 30_000}})
+	}
+	g.Expect(e.queue.Waiting()).To(BeNumerically("~", 9, 1), "16 per second for 500 ms")
+	for len(answers) > 0 {
+		refused[(<-answers).ID[0]] = true
+	}
+	for n := range byte(each) {
+		g.Expect(refused).To(HaveKey(n+100), "the less important ones")
+	}
+}
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/gomega"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
+	"tarragonshore.example/tarragonshore/internal/request/warmup"
+	"tarragonshore.example/tarragonshore/internal/version/catalog"
 )
 
 const (
@@ -86,3 +88,58 @@
 	g.Expect(s.applyHeartbeat(time.Now(), a)).To(MatchError(errOtherAddress))
 	g.Expect(s.view(time.Now()).State).To(Equal(wire.ServerAbsent))
 }
+
+// limitedServer returns the state of a warm server whose service limits cold ones to 16
+// requests per second.
+func limitedServer(t *testing.T, now time.Time) *serverState {
+	t.Helper()
+	s := newServerState(heartbeatInterval, ownAddress)
+	c, err := catalog.New(catalog.Content{Version: 1, Services: []string{"stock"}, WarmUps: []catalog.WarmUp{{Service: "stock", Rate: 16, HealthPath: "/health"}}})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s.setTables(now, c)
+	_ = s.applyHeartbeat(now, testHeartbeat("a", 5, 1, StateReady))
+	s.applyHealth(now.Add(time.Millisecond), now.Add(time.Millisecond), HealthFields{Server: "a"})
+	return s
+}
+
+// Guards against a limit that does not begin with a restart, or that a message from before
+// the restart or from another server lifts.
+func TestLimitOfARestartedServer(t *testing.T) {
+	begun := time.Now()
+	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
+	beat := func(s *serverState, ms int, started, sequence int64, warmUp time.Duration) {
+		h := testHeartbeat("a", started, sequence, StateReady)
+		h.WarmUp = warmUp
+		_ = s.applyHeartbeat(at(ms), h)
+	}
+	reset := func(s *serverState) { s.mayHaveRestarted(at(100), warmup.SignConnectionLost) }
+	for name, c := range map[string]struct {
+		events  func(s *serverState)
+		limited bool // at 1 s
+	}{
+		"nothing":                            {func(*serverState) {}, false},
+		"a lost connection":                  {reset, true},
+		"a refused connection":               {func(s *serverState) { s.connectionRefused(at(100)) }, true},
+		"a heartbeat of another start":       {func(s *serverState) { beat(s, 100, 6, 1, 0) }, true},
+		"a late heartbeat of a start before": {func(s *serverState) { beat(s, 100, 4, 9, 3*time.Second) }, false},
+		"the same start is cold again":       {func(s *serverState) { beat(s, 100, 5, 2, 3*time.Second) }, true},
+		"a heartbeat from before the reset":  {func(s *serverState) { reset(s); beat(s, 200, 5, 2, 0) }, true},
+		"a health response after the reset":  {func(s *serverState) { reset(s); s.applyHealth(at(102), at(101), HealthFields{Server: "a"}) }, false},
+		"a health response that is cold": {func(s *serverState) {
+			reset(s)
+			s.applyHealth(at(102), at(101), HealthFields{Server: "a", WarmUp: 2 * time.Second})
+			beat(s, 300, 5, 2, 0)
+		}, true},
+		"a health response to a query before": {func(s *serverState) { reset(s); s.applyHealth(at(102), at(99), HealthFields{Server: "a"}) }, true},
+		"a health response of another server": {func(s *serverState) { reset(s); s.applyHealth(at(102), at(101), HealthFields{Server: "b"}) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := limitedServer(t, begun)
+			c.events(s)
+			state, url := s.warmUpState(at(1000))
+			g.Expect(state.limited).To(Equal(c.limited))
+			g.Expect(url != "").To(Equal(state.sign != ""), "asked for as long as it may have restarted")
+		})
+	}
+}
--- a/internal/request/warmup/warmup.go
+++ b/internal/request/warmup/warmup.go
@@ -38,14 +38,15 @@
 
 // The signs.
 const (
-	SignDaemonStarted      Sign = "daemon-started" // nothing is known of the server yet
-	SignOtherStart         Sign = "heartbeat-of-another-start"
-	SignConnectionRefused  Sign = "connection-refused"
-	SignConnectionLost     Sign = "connection-lost" // closed or reset before the response
-	SignNoResponse         Sign = "no-response"     // to any run, for as long as one lasted
-	SignOtherServer        Sign = "other-server"    // another server responds at the address
-	SignHeartbeatsMissed   Sign = "heartbeats-missed"
-	SignEvacuationFinished Sign = "evacuation-finished"
+	SignDaemonStarted        Sign = "daemon-started" // nothing is known of the server yet
+	SignOtherStart           Sign = "heartbeat-of-another-start"
+	SignConnectionRefused    Sign = "connection-refused"
+	SignConnectionLost       Sign = "connection-lost" // closed or reset before the response
+	SignIdleConnectionClosed Sign = "idle-connection-closed"
+	SignNoResponse           Sign = "no-response"  // to any run, for as long as one lasted
+	SignOtherServer          Sign = "other-server" // another server responds at the address
+	SignHeartbeatsMissed     Sign = "heartbeats-missed"
+	SignEvacuationFinished   Sign = "evacuation-finished"
 )
 
 // Tolerance states how many requests may reach a cold server in any second: its rate
--- a/internal/version/catalog/catalog_test.go
+++ b/internal/version/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -80,3 +81,21 @@
 		}
 	}
 }
+
+// Guards against a limit for cold servers that is lost on the way to another daemon, and
+// against a snapshot of an earlier release, without the field, that cannot be used.
+func TestSnapshotCarriesWarmUps(t *testing.T) {
+	g := NewWithT(t)
+	limit := WarmUp{Service: "s", Time: 3 * time.Second, Rate: 16, HealthPath: "/health"}
+	for _, warmUps := range [][]WarmUp{{limit}, nil} {
+		content := Content{Version: 3, Services: []string{"s"}, WarmUps: warmUps}
+		snapshot, err := content.Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		decoded, err := DecodeSnapshot(snapshot)
+		g.Expect(err).NotTo(HaveOccurred())
+		c, err := New(*decoded)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(c.WarmUp("s") == limit).To(Equal(warmUps != nil))
+		g.Expect(c.WarmUp("other").Rate).To(BeZero())
+	}
+}
