A server that stays silent in all its runs may have restarted

Cause: while a server hangs without notice, attempts pile up in its slots until the heartbeats are missed, and all could reach it when it comes back. Change: no response to any run for 250 ms and four service times is a sign of a restart, refuted by the next response of the health path. Queries run beside the watch, so that a change is announced while a server that hangs is asked.

--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -168,3 +168,30 @@
 		g.Expect(refused).To(HaveKey(n+100), "the less important ones")
 	}
 }
+
+// Guards against attempts that pile up at a server that hangs without notice, and against
+// a slow server or a single slow run that is taken for one that hangs.
+func TestSilenceOfAServer(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		running, response, service time.Duration // before now; 0: none
+		want                       bool
+	}{
+		"idle":             {0, time.Minute, 0, false},
+		"short run":        {200 * time.Millisecond, time.Minute, 0, false},
+		"hangs":            {300 * time.Millisecond, 300 * time.Millisecond, 20 * time.Millisecond, true},
+		"others respond":   {300 * time.Millisecond, 100 * time.Millisecond, 20 * time.Millisecond, false},
+		"its work is long": {300 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newExecutor(dottedIDs{}, newServerState(heartbeatInterval, ownAddress), nil, nil, nil)
+			e.queue.Finish(now, wire.AttemptID{9}, c.service)
+			e.lastResponse = now.Add(-c.response)
+			e.runs[wire.AttemptID{1}] = &run{attempt: &wire.Attempt{}} // waits
+			if c.running > 0 {
+				e.runs[wire.AttemptID{2}] = &run{attempt: &wire.Attempt{}, started: now.Add(-c.running)}
+			}
+			NewWithT(t).Expect(e.waitsInVain(now)).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/process/agent/warmup.go
+++ b/internal/process/agent/warmup.go
@@ -35,8 +35,10 @@
 	// false alarm costs one query.
 	silentHeartbeats = 1.5
 	// minSilentRun is the least duration of a run without a response that counts as a
-	// sign of a restart, if the server sent no other response meanwhile.
-	minSilentRun = 250 * time.Millisecond
+	// sign of a restart, if the server sent no other response meanwhile. While runs are in
+	// progress the server must have been silent for silentServiceTimes too.
+	minSilentRun       = 250 * time.Millisecond
+	silentServiceTimes = 4
 	// maxHealthBytes bounds the body of a health response that is read.
 	maxHealthBytes = 64 << 10
 )
@@ -104,9 +106,14 @@
 		return // its service has no limit
 	}
 	s.metrics.RecordRestartSign(string(sign))
+	s.wakeWatch()
+}
+
+// wakeWatch wakes watchWarmUp.
+func (s *serverState) wakeWatch() {
 	select {
 	case s.suspected <- struct{}{}:
-	default: // watchWarmUp is awake or will be
+	default: // it is awake or will be
 	}
 }
 
@@ -137,6 +144,14 @@
 	return state, healthURL
 }
 
+// limitsSilence reports whether a silence of the server in all its runs is a sign of a
+// restart: its service limits cold servers, and it has reported nothing meanwhile.
+func (s *serverState) limitsSilence(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.healthPath != "" && s.warmUp.Suspected() == "" && now.Sub(s.warmUp.Reported()) >= minSilentRun
+}
+
 // applyHealth applies a response of the health path to a query that was sent at begun. It
 // is ignored if the server is not the one of the last heartbeat, whose own heartbeats are
 // yet to come.
@@ -167,6 +182,7 @@
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
 	var former warmUpState
+	querying := make(chan struct{}, 1) // has an element while a query is in progress
 	for {
 		select {
 		case <-a.ctx.Done():
@@ -174,14 +190,24 @@
 		case <-ticker.C:
 		case <-a.server.suspected:
 		}
+		if now := time.Now(); a.server.limitsSilence(now) && a.executor.waitsInVain(now) {
+			a.server.mayHaveRestarted(now, warmup.SignNoResponse)
+		}
 		state, url := a.server.warmUpState(time.Now())
 		if state != former {
 			a.warmUpChanged(state, former)
 			former = state
 		}
-		if url != "" {
-			a.queryHealth(client, url)
-			pause(a.ctx, minHealthInterval)
+		if url == "" {
+			continue
+		}
+		select {
+		case querying <- struct{}{}:
+			a.wg.Go(func() {
+				a.queryHealth(client, url)
+				<-querying
+			})
+		default: // the changes above are announced while a server that hangs is asked
 		}
 	}
 }
@@ -203,14 +229,18 @@
 	}
 }
 
-// queryHealth sends one query to the health path and applies the response.
+// queryHealth sends one query to the health path and applies the response. If another
+// sign of a restart overtook the response, watchWarmUp asks again.
 func (a *Agent) queryHealth(client *http.Client, url string) {
 	begun := time.Now()
 	fields, ok := a.getHealth(client, url)
 	a.deps.Metrics.RecordHealthQuery(ok)
-	if ok {
-		a.server.applyHealth(time.Now(), begun, fields)
+	if !ok {
+		return
 	}
+	a.server.applyHealth(time.Now(), begun, fields)
+	pause(a.ctx, minHealthInterval)
+	a.server.wakeWatch()
 }
 
 func (a *Agent) getHealth(client *http.Client, url string) (fields HealthFields, ok bool) {
@@ -229,6 +259,24 @@
 	return a.deps.Protocol.ReadHealth(response.StatusCode, response.Header)
 }
 
+// waitsInVain reports whether the server has sent no response for some time, although runs
+// are in progress. Attempts that are started meanwhile could all reach it at once when it
+// comes back.
+func (e *executor) waitsInVain(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	limit := max(minSilentRun, silentServiceTimes*e.queue.ServiceTime())
+	if now.Sub(e.lastResponse) < limit {
+		return false
+	}
+	for _, r := range e.runs {
+		if !r.started.IsZero() && now.Sub(r.started) >= limit {
+			return true
+		}
+	}
+	return false
+}
+
 // restartSign returns what the end of a run tells about a restart of the server, "" if it
 // tells nothing. The caller holds e.mu. A refused connection is recorded by
 // serverState.connectionRefused.
--- a/internal/request/warmup/warmup.go
+++ b/internal/request/warmup/warmup.go
@@ -205,6 +205,9 @@
 	return l.rate
 }
 
+// Reported returns when the last report arrived, the zero time if there was none.
+func (l *Limiter) Reported() time.Time { return l.reportedAt }
+
 // Suspected returns the newest sign of a restart of a server with a rate that no report
 // has refuted yet, "" if there is none.
 func (l *Limiter) Suspected() Sign {
