--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -163,3 +163,74 @@
 	e.callsAttributed = true
 	g.Expect(e.mayHaveMadeCall(now)).To(BeFalse(), "the ids of calls name their runs")
 }
+
+// Guards against a cold server whose queue holds attempts that other upstreams would run
+// at once. The least important of those that can be moved are refused as not executed;
+// the others wait.
+func TestQueueOfAColdServerIsShort(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s := limitedServer(t, now.Add(-2*time.Second))
+	cold := testHeartbeat("a", 5, 2, StateReady)
+	cold.WarmUp = time.Minute
+	_ = s.applyHeartbeat(now, cold)
+	e := newExecutor(dottedIDs{noHeaders{}}, s, nil, nil, nil)
+	e.queue.SetSlots(1)
+	e.queue.Offer(now, runqueue.Attempt{ID: wire.AttemptID{255}, Deadline: now.Add(time.Minute)}) // takes the slot
+	g.Expect(e.queue.Limit()).To(Equal(1))
+	answers := make(answersOf, 100)
+	refused := map[byte]bool{}
+	const each = 15
+	for n := range byte(3 * each) { // those that cannot be moved, then less and more important ones
+		e.submit(answers, &wire.Attempt{ID: wire.AttemptID{n}, Pool: "stock", Server: "a", Movable: n >= each,
+			Context: wire.Context{Importance: 3 - n/each, RemainingMS: 30_000}})
+	}
+	for len(answers) > 0 {
+		a := <-answers
+		g.Expect(a.Refusal.Executed).To(Equal(string(problem.ExecutedNo)))
+		refused[a.ID[0]] = true
+	}
+	g.Expect(refused).To(HaveLen(2*each), "all that can be moved, since the others fill the queue")
+	e.withdrawQueued("")
+	for len(answers) > 0 {
+		<-answers
+	}
+	for n := range byte(2 * each) {
+		e.submit(answers, &wire.Attempt{ID: wire.AttemptID{n + 100}, Pool: "stock", Server: "a", Movable: true,
+			Context: wire.Context{Importance: 3 - n/each, RemainingMS: 30_000}})
+	}
+	g.Expect(e.queue.Waiting()).To(BeNumerically("~", 9, 1), "16 per second for 500 ms")
+	for len(answers) > 0 {
+		refused[(<-answers).ID[0]] = true
+	}
+	for n := range byte(each) {
+		g.Expect(refused).To(HaveKey(n+100), "the less important ones")
+	}
+}
+
+// Guards against attempts that pile up at a server that hangs without notice, and against
+// a slow server or a single slow run that is taken for one that hangs.
+func TestSilenceOfAServer(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		running, response, service time.Duration // before now; 0: none
+		want                       bool
+	}{
+		"idle":             {0, time.Minute, 0, false},
+		"short run":        {200 * time.Millisecond, time.Minute, 0, false},
+		"hangs":            {300 * time.Millisecond, 300 * time.Millisecond, 20 * time.Millisecond, true},
+		"others respond":   {300 * time.Millisecond, 100 * time.Millisecond, 20 * time.Millisecond, false},
+		"its work is long": {300 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newExecutor(dottedIDs{}, newServerState(heartbeatInterval, ownAddress), nil, nil, nil)
+			e.queue.Finish(now, wire.AttemptID{9}, c.service)
+			e.lastResponse = now.Add(-c.response)
+			e.runs[wire.AttemptID{1}] = &run{attempt: &wire.Attempt{}} // waits
+			if c.running > 0 {
+				e.runs[wire.AttemptID{2}] = &run{attempt: &wire.Attempt{}, started: now.Add(-c.running)}
+			}
+			NewWithT(t).Expect(e.waitsInVain(now)).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/request/runqueue/runqueue.go
+++ b/internal/request/runqueue/runqueue.go
@@ -127,6 +127,7 @@
 	sequence      uint64 // of the last queued attempt
 	spareFlow     *flow  // an empty one, or nil
 	epoch         time.Time
+	limiter       StartLimiter // may be nil
 }
 
 // New returns a queue without slots.
@@ -141,8 +142,12 @@
 // SetSlots sets the slots that the backend server announced.
 func (q *Queue) SetSlots(slots int) { q.slots = max(0, slots) }
 
-// Limit returns the number of attempts that may run concurrently.
-func (q *Queue) Limit() int {
+// Limit returns the number of attempts that may run concurrently, or, while starts are
+// limited, that run at once at the rate of the limit.
+func (q *Queue) Limit() int { return q.rateLimit(q.slotLimit()) }
+
+// slotLimit returns the number of attempts that may run concurrently.
+func (q *Queue) slotLimit() int {
 	if q.slots == 0 {
 		return 0
 	}
@@ -226,7 +231,7 @@
 
 // startWaiting starts waiting attempts while slots are free.
 func (q *Queue) startWaiting(now time.Time, actions Actions) Actions {
-	for len(q.running) < q.Limit() {
+	for len(q.running) < q.slotLimit() && q.mayStart(now) {
 		e, outOfOrder := q.head(now)
 		if e == nil {
 			break
@@ -251,6 +256,9 @@
 		q.shares.started(now, r.share, e.cost)
 	}
 	q.running[e.ID] = r
+	if q.limiter != nil {
+		q.limiter.Started(now)
+	}
 	q.startRates[e.class].add(now, 1)
 	q.workRates[e.class].add(now, e.cost.Seconds())
 	q.startsInOrder++
