agent: evacuation of a zone, and a store restored from an older copy

Cause: the system had no means to empty a zone, and took a store that comes back from an older copy for one that goes on: offsets are given out again, so that a reader missed publications, and a daemon that started took an older version, with withdrawn keys. Change: the package storeview decides which copy of the evacuations is newer, which ones are kept after a restore, what a response of another era proves and when the directory record is written again. The follower, the directory and the replies carry the era; the executing daemon refuses attempts in an evacuated zone as not executed, which the dispatcher does not count. A reader of a restored store asks peers for a newer version before it polls.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -311,8 +311,33 @@
 	Version uint64        `cbor:"5,keyasint,omitempty"` // in force at the sender
 	Age     time.Duration `cbor:"6,keyasint,omitempty"` // since the sender's tables were confirmed
 	Held    time.Duration `cbor:"7,keyasint,omitempty"` // from the receipt of the request to the reply
-	// Next is the store's offset after the publication of Version, 0 if not known.
-	Next uint64 `cbor:"8,keyasint,omitempty"`
+	// Next is the store's offset after the publication of Version, 0 if not known, and
+	// NextEra the era to which it belongs.
+	Next    uint64 `cbor:"8,keyasint,omitempty"`
+	NextEra uint64 `cbor:"9,keyasint,omitempty"`
+	// StoreEra is the greatest era of the store that the sender knows. Age counts only in
+	// this era.
+	StoreEra uint64 `cbor:"10,keyasint,omitempty"`
+	// Evacuations is absent in replies of earlier releases.
+	Evacuations *Evacuations `cbor:"11,keyasint,omitempty"`
+}
+
+// Evacuations is a daemon's copy of the evacuated zones, which is known up to a position
+// of the store's log.
+type Evacuations struct {
+	Era    uint64   `cbor:"1,keyasint,omitempty"`
+	Offset uint64   `cbor:"2,keyasint,omitempty"`
+	Zones  []string `cbor:"3,keyasint,omitempty"` // that the store lists
+	// Kept holds the zones whose record a restore has removed, and those about which the
+	// store has told since.
+	Kept []KeptZone `cbor:"4,keyasint,omitempty"`
+}
+
+// KeptZone is a zone that counts as evacuated although the store does not list it.
+type KeptZone struct {
+	_    struct{} `cbor:",toarray"`
+	Zone string
+	Left time.Duration // how long it still counts; 0: no longer
 }
 
 // GroupKeeper names the keeper of a rate group. If two messages differ, the one with
@@ -380,6 +405,9 @@
 	// Members is the digest of the members that the sender takes for live. It is zero in
 	// statuses of releases that do not answer a MembersRequest.
 	Members MembersDigest `cbor:"20,keyasint"`
+	// Evacuations is absent if the sender has seen neither an evacuation nor a restore of
+	// the store.
+	Evacuations *Evacuations `cbor:"21,keyasint,omitempty"`
 }
 
 // MembersDigest stands for a set of members.
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -21,6 +21,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,6 +152,7 @@
 		peer.Config{PingInterval: linkPingInterval, IdlePingInterval: idleLinkPingInterval, MinCheckInterval: linkCheckInterval,
 			SilenceTimeout: linkSilenceLimit, DialTimeout: peer.DefaultConfig.DialTimeout, Dial: deps.Network.Dial}, a)
 	a.dispatcher.hub = a.hub
+	a.executor.zoneEvacuated = func() bool { return slices.Contains(a.tables.evacuatedZones(), cfg.Zone) }
 	a.tables.onChange = a.fleet.pruneArrivals
 	a.tables.announce = func() { a.broadcast(0) }
 	a.server.onChange = a.serverChanged
@@ -187,7 +189,7 @@
 	}
 	for _, loop := range []func(){
 		func() { a.tables.follow(a.ctx) }, func() { a.executor.expireQueued(a.ctx) },
-		a.receiveStatuses, a.sendStatuses, a.runPlanner, a.syncDirectory, a.preopenLinks,
+		a.receiveStatuses, a.sendStatuses, a.runPlanner, a.syncDirectory, a.preopenLinks, a.applyEvacuatedZones,
 	} {
 		a.wg.Go(loop)
 	}
@@ -206,6 +208,8 @@
 		{"tarragon_tables_age_seconds", "Time since the store last confirmed the tables.", func() float64 { return a.tables.age().Seconds() }},
 		{"tarragon_tables_source", "Where the tables are confirmed: 1 peers, 2 the store, for the zone, 3 the store is lost; 0 before the first decision.", func() float64 { return float64(a.tables.source.Load()) }},
 		{"tarragon_tables_parked_questions", "Questions of peers that wait for this daemon's next confirmation.", func() float64 { return float64(a.tables.parkedQuestions()) }},
+		{"tarragon_store_era", "Number of restores of the store from an older copy, as far as known.", func() float64 { return float64(a.tables.era.Load()) }},
+		{"tarragon_zones_evacuated", "Availability zones that are evacuated.", func() float64 { return float64(len(a.tables.evacuatedZones())) }},
 		{"tarragon_members_usable", "Members whose backend servers accept attempts.", a.fleet.usableMembers},
 		{"tarragon_members_live", "Members, this one included, that take part in the fleet.", func() float64 { return float64(a.fleet.membersDigest(time.Now()).Count) }},
 		{"tarragon_status_left_out", "Entries of arrivals, runs and usage for which the last status was too long.", func() float64 { return float64(a.statusLeftOut.Load()) }},
--- a/internal/process/agent/directory.go
+++ b/internal/process/agent/directory.go
@@ -7,6 +7,7 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/version/storeview"
 )
 
 const (
@@ -30,9 +31,7 @@
 // directorySync is the state of this daemon's record in the directory and of its reads.
 // It is used by one goroutine.
 type directorySync struct {
-	// listed is true once the store has acknowledged this daemon's record, until a read
-	// shows that the record is missing.
-	listed bool
+	record storeview.Record
 	// readAt is when the directory was last read; zero: not since the record was written.
 	readAt time.Time
 	// fencedWrites is the number of writes in a row that the store has fenced off.
@@ -65,8 +64,11 @@
 func (a *Agent) syncDirectory() {
 	var s directorySync
 	for a.ctx.Err() == nil {
-		if !s.listed && !a.leaving.Load() && a.register(&s) {
-			s.listed, s.readAt = true, time.Time{}
+		if s.record.CheckDue(a.tables.era.Load()) {
+			s.readAt = time.Time{}
+		}
+		if s.record.WriteDue() && !a.leaving.Load() && a.register(&s) {
+			s.readAt = time.Time{}
 		}
 		readsStore := wire.TablesSource(a.tables.source.Load()) == wire.SourceStore
 		if s.readDue(time.Now(), a.fleet.lastMemberStart(), readsStore) && a.readDirectory(&s) {
@@ -86,8 +88,10 @@
 func (a *Agent) register(s *directorySync) bool {
 	ctx, cancel := a.storeContext()
 	defer cancel()
-	err := a.deps.Store.Register(ctx, DirectoryEntry{Member: a.cfg.Member, Peer: a.cfg.Listen.Peer.String(), Zone: a.cfg.Zone}, a.directoryEpoch.Load())
+	era, err := a.deps.Store.Register(ctx, DirectoryEntry{Member: a.cfg.Member, Peer: a.cfg.Listen.Peer.String(), Zone: a.cfg.Zone}, a.directoryEpoch.Load())
 	if err == nil {
+		a.tables.noteEra(era)
+		s.record.Written(era)
 		s.fencedWrites = 0
 		return true
 	}
@@ -104,7 +108,13 @@
 func (a *Agent) readDirectory(s *directorySync) bool {
 	ctx, cancel := a.storeContext()
 	defer cancel()
-	entries, err := a.deps.Store.Daemons(ctx)
+	entries, era, err := a.deps.Store.Daemons(ctx)
+	if err == nil {
+		a.tables.noteEra(era)
+		if era < a.tables.era.Load() {
+			err = errOutdatedEra
+		}
+	}
 	if err != nil {
 		logging.WarningEvent("directory", "not-read", "error", err)
 		return false
@@ -115,9 +125,8 @@
 	}
 	a.addListed(entries)
 	a.fleet.markDirectoryRead()
-	if s.listed && listed[a.cfg.Member] != a.cfg.Listen.Peer.String() && !a.leaving.Load() {
-		logging.WarningEvent("directory", "record-missing", "member", a.cfg.Member)
-		s.listed = false
+	if !a.leaving.Load() && s.record.Read(era, a.tables.era.Load(), listed[a.cfg.Member] == a.cfg.Listen.Peer.String()) {
+		logging.WarningEvent("directory", "record-missing", "member", a.cfg.Member, "era", era)
 		a.directoryEpoch.Add(1)
 	}
 	for _, address := range a.fleet.liveUnlisted(time.Now(), listed) {
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -19,7 +19,8 @@
 
 const (
 	// maxNotReached is the number of attempts of one call that may fail to reach a
-	// backend server; after the last of them the call is refused.
+	// backend server; after the last of them the call is refused. Refusals because of an
+	// evacuation do not count.
 	maxNotReached = 4
 	// answerGrace is how long the executing daemon's answer is awaited after the
 	// deadline, since it may still carry the backend server's response.
@@ -114,9 +115,10 @@
 		}
 		c.tried = append(c.tried, id)
 		outcome.add(&result)
-		if result.answer == nil || result.answer.Reached {
+		switch {
+		case result.answer == nil || result.answer.Reached:
 			reached++
-		} else {
+		case !result.evacuated():
 			notReached++
 		}
 		again, reason := d.shouldRetry(c, &result, reached, notReached)
@@ -151,6 +153,8 @@
 		return false, "no-time-left"
 	case !notExecuted && !c.idempotent:
 		return false, "must-not-run-twice"
+	case result.evacuated():
+		return true, "evacuated" // ends with the untried upstreams
 	case notExecuted && !result.reachedServer():
 		return notReached < maxNotReached, "not-reached"
 	case reached >= max(1, c.attempts):
@@ -161,6 +165,13 @@
 	return true, "repeat"
 }
 
+// evacuated reports whether the attempt was refused since the zone of the upstream is
+// evacuated. All servers of a zone refuse at once, so that this does not count as a failure
+// to reach a server.
+func (r *attemptResult) evacuated() bool {
+	return r.refusal != nil && r.refusal.Kind == problem.KindEvacuated && r.refusal.Executed == problem.ExecutedNo && !r.reachedServer()
+}
+
 func (r *attemptResult) reachedServer() bool { return r.answer != nil && r.answer.Reached }
 
 // callOutcome accumulates the results of a call's attempts.
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -78,6 +78,13 @@
 	callEstimator                      *shedding.CallEstimator
 	loadNumber                         uint64
 	draining                           bool
+	evacuated                          bool // the own zone is evacuated
+	// zoneEvacuated tells the newest state of the own zone, which setEvacuated puts into
+	// effect a little later.
+	zoneEvacuated func() bool
+	// onEvacuationEnd is called without the lock when the evacuation of the own zone has
+	// ended, before attempts are accepted: the backend server may have restarted unnoticed.
+	onEvacuationEnd func()
 	// queued has an element if expireQueued has to be woken.
 	queued chan struct{}
 	wg     sync.WaitGroup
@@ -88,7 +95,7 @@
 		protocol: protocol, server: s, backend: x, metrics: m, log: log,
 		queue: runqueue.New(), runs: make(map[wire.AttemptID]*run),
 		startedByRequest: make(map[string]*run), callEstimator: shedding.NewCallEstimator(),
-		queued: make(chan struct{}, 1),
+		queued: make(chan struct{}, 1), zoneEvacuated: func() bool { return false }, onEvacuationEnd: func() {},
 	}
 }
 
@@ -111,6 +118,8 @@
 func (e *executor) checkServer(now time.Time, attempt *wire.Attempt) *problem.Problem {
 	view := e.server.view(now)
 	switch {
+	case e.inEvacuatedZone():
+		return evacuatedRefusal()
 	case e.draining || view.State == wire.ServerDraining:
 		return problem.New(problem.KindDraining, "backend server "+view.Server+" is draining").WithRetryAfter(briefRetryAfter)
 	case view.Server != attempt.Server || view.Service != attempt.Pool:
@@ -197,11 +206,15 @@
 	defer cancel()
 	e.mu.Lock()
 	r.cancel = cancel
-	abandoned := r.abandoned
+	abandoned, evacuated := r.abandoned, e.inEvacuatedZone()
 	e.mu.Unlock()
 	if abandoned {
 		cancel()
 	}
+	if evacuated {
+		e.finish(r, nil, errZoneEvacuated)
+		return
+	}
 	if e.server.startsForbidden() {
 		e.finish(r, nil, errStartForbidden)
 		return
@@ -230,6 +243,15 @@
 // been draining for too long, for example since this process was paused.
 var errStartForbidden = errors.New("the backend server has been draining for longer than attempts may be started; send the request to another server")
 
+// errZoneEvacuated means that the zone was evacuated between the start of an attempt and
+// its request to the backend server.
+var errZoneEvacuated = errors.New("the availability zone of the host is evacuated; send the request to a server of another zone")
+
+// evacuatedRefusal returns the refusal of an attempt because of an evacuation.
+func evacuatedRefusal() *problem.Problem {
+	return problem.New(problem.KindEvacuated, errZoneEvacuated.Error()).WithRetryAfter(briefRetryAfter)
+}
+
 // finish sends the answer to a run that has ended and starts queued attempts in the
 // slot that it has freed.
 func (e *executor) finish(r *run, response *backend.Response, err error) {
@@ -294,7 +316,7 @@
 func (e *executor) isServerFailure(r *run, answer *wire.Answer) bool {
 	if answer.Response == nil {
 		kind := problem.Kind(answer.Refusal.Kind)
-		return kind != problem.KindDeadline && kind != problem.KindDraining
+		return kind != problem.KindDeadline && kind != problem.KindDraining && kind != problem.KindEvacuated
 	}
 	madeNoCalls := len(r.calls) == 0 && (e.callsAttributed || !e.callsUnattributed)
 	return answer.Response.Status == http.StatusInternalServerError && madeNoCalls
@@ -325,6 +347,9 @@
 	if errors.Is(err, errStartForbidden) {
 		return wireRefusal(problem.New(problem.KindDraining, err.Error()).WithRetryAfter(briefRetryAfter)), false
 	}
+	if errors.Is(err, errZoneEvacuated) {
+		return wireRefusal(evacuatedRefusal()), false
+	}
 	var failure *backend.Error
 	if errors.As(err, &failure) && failure.NotExecuted {
 		e.server.connectionRefused(time.Now())
@@ -361,29 +386,33 @@
 // continues.
 func (e *executor) withdraw(id wire.AttemptID) {
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
-		e.withdrawLocked(id, "withdrawn by a daemon that is stopping", out)
+		e.withdrawLocked(id, drainingRefusal("withdrawn by a daemon that is stopping"), out)
 		return runqueue.Actions{}
 	})
 }
 
 // withdrawQueued refuses all attempts that have not started as not executed.
-func (e *executor) withdrawQueued(detail string) {
+func (e *executor) withdrawQueued(refused *problem.Problem) {
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
 		for id := range e.runs {
-			e.withdrawLocked(id, detail, out)
+			e.withdrawLocked(id, refused, out)
 		}
 		return runqueue.Actions{}
 	})
 }
 
-// withdrawLocked is withdraw for callers that hold mu.
-func (e *executor) withdrawLocked(id wire.AttemptID, detail string, out *[]outgoingAnswer) {
+// drainingRefusal returns the refusal of an attempt that a stop or a drain has withdrawn.
+func drainingRefusal(detail string) *problem.Problem {
+	return problem.New(problem.KindDraining, detail).WithRetryAfter(briefRetryAfter)
+}
+
+// withdrawLocked refuses an attempt that has not started. The caller holds mu.
+func (e *executor) withdrawLocked(id wire.AttemptID, refused *problem.Problem, out *[]outgoingAnswer) {
 	r, ok := e.runs[id]
 	if !ok || !e.queue.Cancel(id) {
 		return
 	}
 	delete(e.runs, id)
-	refused := problem.New(problem.KindDraining, detail).WithRetryAfter(briefRetryAfter)
 	*out = append(*out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, refused)})
 }
 
@@ -417,7 +446,7 @@
 // refuseQueued refuses the attempts that are still queued at a server that is draining.
 func (e *executor) refuseQueued() {
 	if e.server.view(time.Now()).State == wire.ServerDraining {
-		e.withdrawQueued("the backend server is draining")
+		e.withdrawQueued(drainingRefusal("the backend server is draining"))
 	}
 }
 
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,7 @@
 	lastStatusAt     time.Time                  // when the last status arrived; zero: never
 	unreachableUntil time.Time                  // no new attempts until then
 	usable           bool                       // result of acceptsAttempts at the last refresh
+	evacuated        bool                       // its zone is evacuated
 	// digestDiffersSince is when the digest in the status began to show members that this
 	// daemon lacks; zero: it shows none.
 	digestDiffersSince time.Time
@@ -66,6 +68,7 @@
 	directoryReadAt time.Time
 	// memberStartedAt is when a new start of a member was last seen; zero: never.
 	memberStartedAt time.Time
+	evacuated       []string  // evacuated zones
 	membersAskedAt  time.Time // when another daemon's list of members was last asked for
 	members         map[string]*member
 	placements      map[string]*placement.Table // by service
@@ -195,6 +198,7 @@
 	}
 	former := m.status
 	m.status, m.address, m.lastStatusAt, m.unreachableUntil = *s, s.Address, now, time.Time{}
+	m.evacuated = slices.Contains(f.evacuated, s.Zone)
 	if !m.self {
 		m.usage = rateshare.UsageByWorkspace(s.Usage)
 	}
@@ -220,7 +224,7 @@
 	}
 	m.usable = usable
 	logging.InfoEvent("fleet", "member", "member", m.name, "server", m.status.Server, "service", m.status.Service,
-		"usable", usable, "phase", int(m.status.State), "leaving", m.status.Leaving, "silent_ms", now.Sub(m.lastStatusAt).Milliseconds())
+		"usable", usable, "phase", int(m.status.State), "leaving", m.status.Leaving, "evacuated", m.evacuated, "silent_ms", now.Sub(m.lastStatusAt).Milliseconds())
 	f.rebuildPlacement(now, m.status.Service)
 }
 
@@ -235,7 +239,7 @@
 // acceptsAttempts reports whether new attempts may be sent to the member.
 func (m *member) acceptsAttempts(now time.Time) bool {
 	return !m.lastStatusAt.IsZero() && now.Sub(m.lastStatusAt) <= statusTimeout && !now.Before(m.unreachableUntil) &&
-		!m.status.Leaving && m.status.State.Usable()
+		!m.status.Leaving && m.status.State.Usable() && !m.evacuated
 }
 
 // rebuildPlacement updates the placement table of a service, "" for none. The caller
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -10,6 +10,7 @@
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
+	"tarragonshore.example/tarragonshore/internal/version/storeview"
 )
 
 // Offset is a position in the log of the operators' publications.
@@ -27,8 +28,13 @@
 type Publication struct {
 	// Content is nil if nothing, or nothing readable, was published.
 	Content *catalog.Content
+	// Evacuations holds the records of evacuations, in order.
+	Evacuations []storeview.Change
 	// Next is the offset at which to read later publications.
 	Next Offset
+	// Era is that of the response, 0 if the store states none. It rises with each restore
+	// of the store from an older copy, after which offsets are given out again.
+	Era uint64
 }
 
 // DirectoryEntry is the record of a daemon in the directory.
@@ -47,13 +53,13 @@
 	// newest of them, or no content if there was none. The error wraps
 	// ErrHistoryLost if the store has dropped the records at the offset.
 	Next(ctx context.Context, from Offset, wait time.Duration) (Publication, error)
-	// Daemons reads the directory of daemons.
-	Daemons(ctx context.Context) ([]DirectoryEntry, error)
+	// Daemons reads the directory of daemons. The era is that of the response.
+	Daemons(ctx context.Context) (list []DirectoryEntry, era uint64, err error)
 	// Register adds this daemon to the directory or replaces its entry. The error wraps
 	// ErrFenced if the store has seen a write for the member with a greater epoch. A write
 	// that is repeated with its epoch is executed at most once, and the store executes
 	// none late once it has executed one with a greater epoch.
-	Register(ctx context.Context, entry DirectoryEntry, epoch uint64) error
+	Register(ctx context.Context, entry DirectoryEntry, epoch uint64) (era uint64, err error)
 	// Unregister removes a member from the directory. The epoch is as for Register.
 	Unregister(ctx context.Context, member string, epoch uint64) error
 }
--- a/internal/process/agent/status.go
+++ b/internal/process/agent/status.go
@@ -86,6 +86,7 @@
 // status returns this daemon's current status with a new number. An interval above 0
 // closes the current interval of the measured rates.
 func (a *Agent) status(interval time.Duration) *wire.Status {
+	evacuations := a.tables.evacuationsReport()
 	a.statusMu.Lock()
 	defer a.statusMu.Unlock()
 	now := time.Now()
@@ -102,6 +103,7 @@
 	a.lastStatus.Server, a.lastStatus.Service, a.lastStatus.State = view.Server, view.Service, view.State
 	a.lastStatus.TablesVersion = catalogVersion(a.tables.catalog())
 	a.lastStatus.Members = a.fleet.membersDigest(now)
+	a.lastStatus.Evacuations = evacuations
 	a.lastStatus.TablesSource = wire.TablesSource(a.tables.source.Load())
 	status := a.lastStatus
 	return &status
@@ -152,6 +154,7 @@
 	if a.fleet.applyStatus(time.Now(), status) && !a.leaving.Load() {
 		a.replyStatus(status.Address)
 	}
+	a.tables.mergeEvacuations(a.tables.clock.now(), status.Evacuations)
 	a.tables.reportedVersion(catalog.Version(status.TablesVersion))
 }
 
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -93,7 +93,7 @@
 	pause(ctx, time.Until(schedule.lameDuckUntil()))
 	a.drain(ctx, schedule)
 	a.dispatcher.withdraw()
-	a.executor.withdrawQueued("the daemon is stopping")
+	a.executor.withdrawQueued(drainingRefusal("the daemon is stopping"))
 	endAccepting()
 	a.stopCallerPort(ctx)
 	<-unregistered
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -13,6 +13,7 @@
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 	"tarragonshore.example/tarragonshore/internal/version/confirmation"
+	"tarragonshore.example/tarragonshore/internal/version/storeview"
 )
 
 const (
@@ -41,6 +42,9 @@
 	neverConfirmed = time.Duration(math.MaxInt64)
 )
 
+// errOutdatedEra means that the store sent a response of before a restore that is known.
+var errOutdatedEra = errors.New("the response of the store is of an era before its last restore; retry")
+
 // tablesPeers gives access to the other daemons, which may have newer tables or a newer
 // confirmation.
 type tablesPeers interface {
@@ -56,12 +60,13 @@
 type tablesInForce struct {
 	catalog  *catalog.Catalog
 	snapshot []byte
-	next     Offset // at which to read later publications; 0: not known
+	next     storeview.Position // at which to read later publications; offset 0: not known
 }
 
 // tablesFollower follows the operators' publications. It holds the version in force and
 // the time at which the store last confirmed that there is no newer one, to this daemon
-// or to a peer. It also answers the questions of peers (tables_questions.go).
+// or to a peer. It also answers the questions of peers (tables_questions.go) and holds the
+// evacuated zones and the era of the store (evacuation.go).
 type tablesFollower struct {
 	store     Store
 	peers     tablesPeers
@@ -82,20 +87,29 @@
 
 	// The fields below are used by follow only.
 	chooser      *confirmation.Chooser
-	next         Offset
-	known        bool // next is known
+	position     storeview.Position
+	known        bool // position is known
 	disconnected bool // the last call to the store failed
 	questions    uint64
 
-	mu     sync.Mutex
-	parked map[uint64]parkedQuestion // by link number
+	// evacuated holds the evacuated zones.
+	evacuated atomic.Pointer[[]string]
+	// evacuationsChanged has an element if evacuated has changed.
+	evacuationsChanged chan struct{}
+	era                atomic.Uint64 // the greatest era of the store that is known
+
+	mu          sync.Mutex
+	parked      map[uint64]parkedQuestion // by link number
+	proof       storeview.Proof
+	evacuations storeview.Evacuations
+	eraKnownAt  time.Duration // when era was last raised
 }
 
 func newTablesFollower(store Store, revokeBound time.Duration, member, zone string) *tablesFollower {
 	return &tablesFollower{
 		store: store, maxKeyAge: revokeBound - transitMargin, chooser: confirmation.NewChooser(member, zone),
 		onChange: func(*catalog.Catalog) {}, announce: func() {}, newer: make(chan struct{}, 1),
-		parked: make(map[uint64]parkedQuestion),
+		parked: make(map[uint64]parkedQuestion), evacuationsChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -137,14 +151,16 @@
 // confirm records that the version in force was the newest one at a time. Times before
 // the last one are ignored: that proof still holds.
 func (t *tablesFollower) confirm(at time.Duration) {
-	t.confirmed.Store(max(t.confirmed.Load(), int64(at)))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed.Store(int64(t.proof.Confirm(at)))
 }
 
 // follow puts publications in force and has them confirmed until ctx is cancelled.
 func (t *tablesFollower) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		state := t.peers.tablesState()
-		state.Version, state.Age = uint64(t.version()), t.age()
+		state.Version, state.Age, state.Restored = uint64(t.version()), t.age(), t.era.Load() > 0
 		step := t.chooser.Next(t.clock.now(), state)
 		t.updateSource()
 		switch step.Kind {
@@ -185,15 +201,27 @@
 // readStore makes one call to the store, which waits up to wait for a publication, and
 // applies its result.
 func (t *tablesFollower) readStore(ctx context.Context, wait time.Duration) {
-	begun, wasKnown := t.clock.now(), t.known
+	begun := t.clock.now()
+	t.known = t.known && t.evacuationsCover(t.position)
+	byPosition := t.known
 	publication, err := t.read(ctx, wait)
 	if errors.Is(err, ErrHistoryLost) {
-		logging.InfoEvent("tables", "history-lost", "offset", uint64(t.next))
+		logging.InfoEvent("tables", "history-lost", "offset", t.position.Offset, "era", t.position.Era)
 		t.known = false
 		return
 	}
+	if err == nil {
+		switch t.judge(byPosition, publication.Era) {
+		case storeview.Restored:
+			t.known = false // the newest records are read next
+			return
+		case storeview.Outdated:
+			t.known, err = false, errOutdatedEra
+		}
+	}
 	now := t.clock.now()
-	t.chooser.StoreRead(now, err == nil, publication.Content != nil && t.known)
+	next := storeview.Position{Era: publication.Era, Offset: uint64(publication.Next)}
+	t.chooser.StoreRead(now, err == nil, byPosition && next != t.position)
 	t.metrics.RecordConfirmation("store", err == nil)
 	if err != nil {
 		if !t.disconnected && ctx.Err() == nil {
@@ -207,16 +235,38 @@
 		t.disconnected = false
 		logging.InfoEvent("tables", "store-regained", "version", uint64(t.version()), "age_ms", ageMS(t.age()))
 	}
-	emptyPoll := wasKnown && publication.Content == nil && publication.Next == t.next
-	t.next, t.known = publication.Next, true
-	changed := t.applyPublication(publication)
-	t.confirm(confirmationTime(begun, now, emptyPoll, wait))
+	emptyPoll := byPosition && next == t.position
+	t.position, t.known = next, true
+	changed := t.applyEvacuations(now, byPosition, next, publication.Evacuations)
+	changed = t.applyPublication(publication) || changed
+	if t.mayConfirm(now, next.Era) {
+		t.confirm(confirmationTime(begun, now, emptyPoll, wait))
+	}
 	t.answerParked()
 	if changed {
 		t.announce()
 	}
 }
 
+// judge judges a successful response of the store, and notes its era.
+func (t *tablesFollower) judge(byPosition bool, era uint64) storeview.Verdict {
+	t.noteEra(era)
+	if byPosition {
+		return storeview.JudgeRead(t.position, t.era.Load(), era)
+	}
+	return storeview.JudgeNewest(t.era.Load(), era)
+}
+
+// mayConfirm reports whether a read that has been applied confirms the version in force.
+func (t *tablesFollower) mayConfirm(now time.Duration, era uint64) bool {
+	state := t.peers.tablesState()
+	read := storeview.Read{Era: era, SinceEra: now - t.eraKnown(), Started: state.Started, Members: len(state.Members), InForce: uint64(t.version())}
+	for _, m := range state.Members {
+		read.NewestOfMembers = max(read.NewestOfMembers, m.Version)
+	}
+	return read.MayConfirm()
+}
+
 // confirmationTime returns the time up to which a read that began and ended at the
 // given times proves that nothing newer was published. For an empty poll this is later
 // than its start: the store returns an empty response only after the whole wait, which
@@ -237,7 +287,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	return t.store.Next(ctx, t.next, wait)
+	return t.store.Next(ctx, Offset(t.position.Offset), wait)
 }
 
 // applyPublication puts newer content of the store in force and reports whether it did.
@@ -249,12 +299,12 @@
 	if err != nil {
 		logging.ErrorEvent("tables", "snapshot-not-encoded", err, "version", uint64(p.Content.Version))
 	}
-	return t.apply(p.Content, snapshot, p.Next)
+	return t.apply(p.Content, snapshot, storeview.Position{Era: p.Era, Offset: uint64(p.Next)})
 }
 
 // apply puts newer content in force and reports whether it did. If the content is
 // invalid, the former version stays in force.
-func (t *tablesFollower) apply(content *catalog.Content, snapshot []byte, next Offset) bool {
+func (t *tablesFollower) apply(content *catalog.Content, snapshot []byte, next storeview.Position) bool {
 	if content.Version <= t.version() {
 		return false
 	}
--- a/internal/process/agent/tables_questions.go
+++ b/internal/process/agent/tables_questions.go
@@ -10,6 +10,7 @@
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 	"tarragonshore.example/tarragonshore/internal/version/confirmation"
+	"tarragonshore.example/tarragonshore/internal/version/storeview"
 )
 
 const (
@@ -78,11 +79,13 @@
 func (t *tablesFollower) answer(question parkedQuestion) {
 	// The order matters if the process is paused in between: a time held that is read too
 	// early, an age that is read too late and a version that is newer than the age
-	// understate the freshness. See also age.
-	reply := wire.TablesReply{Number: question.number, Held: t.clock.now() - question.received}
+	// understate the freshness. So does an era that is read before the age, since the age
+	// counts only in its era. See also age.
+	reply := wire.TablesReply{Number: question.number, Held: t.clock.now() - question.received, StoreEra: t.era.Load()}
 	reply.Age = t.age()
+	reply.Evacuations = t.evacuationsCopy()
 	if c := t.current.Load(); c != nil {
-		reply.Version, reply.Next = uint64(c.catalog.Version()), uint64(c.next)
+		reply.Version, reply.Next, reply.NextEra = uint64(c.catalog.Version()), c.next.Offset, c.next.Era
 		if c.catalog.Version() > question.version {
 			reply.Snapshot = c.snapshot
 		}
@@ -130,6 +133,8 @@
 
 // applyReply puts newer tables of a reply in force and records what it proves.
 func (t *tablesFollower) applyReply(asked, now time.Duration, member string, reply *wire.TablesReply) {
+	t.noteEra(reply.StoreEra)
+	t.mergeEvacuations(now, reply.Evacuations) // before the tables, with which a new daemon begins to serve
 	if reply.Version > uint64(t.version()) && len(reply.Snapshot) > 0 {
 		content, err := catalog.DecodeSnapshot(reply.Snapshot)
 		if err != nil {
@@ -137,11 +142,13 @@
 			t.chooser.Unanswered(now, member)
 			return
 		}
-		if t.apply(content, reply.Snapshot, Offset(reply.Next)) {
-			t.next, t.known = Offset(reply.Next), reply.Next > 0
+		next := storeview.Position{Era: reply.NextEra, Offset: reply.Next}
+		if t.apply(content, reply.Snapshot, next) && next.Offset > 0 && (!t.known || t.position.Before(next)) {
+			t.position, t.known = next, true
 		}
 	}
 	proven, ok := confirmation.ProvenTime(asked, now, uint64(t.version()), confirmation.Answer{Version: reply.Version, Age: reply.Age, Held: reply.Held})
+	ok = ok && reply.StoreEra >= t.era.Load() // a confirmation of before a restore proves nothing after it
 	t.metrics.RecordConfirmation("peer", ok)
 	if !ok {
 		t.chooser.Unanswered(now, member)
--- a/internal/process/agent/tables_test.go
+++ b/internal/process/agent/tables_test.go
@@ -14,6 +14,7 @@
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 	"tarragonshore.example/tarragonshore/internal/version/confirmation"
+	"tarragonshore.example/tarragonshore/internal/version/storeview"
 )
 
 // Guards against trusting tables for too long: a read proves that nothing newer was
@@ -145,7 +146,7 @@
 		}, instant: func() instant {
 			return instant{monotonic: time.Duration(readings) * time.Hour} // no reading is extrapolated
 		}}
-		follower.apply(&catalog.Content{Version: 3}, nil, 0)
+		follower.apply(&catalog.Content{Version: 3}, nil, storeview.Position{})
 		confirmed := now
 		follower.confirm(confirmed)
 		link := &answerRecorder{}
--- a/internal/request/problem/problem.go
+++ b/internal/request/problem/problem.go
@@ -34,6 +34,7 @@
 	KindOverloaded       Kind = "overloaded"
 	KindNoUpstream       Kind = "no-upstream"
 	KindDraining         Kind = "draining"
+	KindEvacuated        Kind = "evacuated"
 	KindTablesStale      Kind = "tables-stale"
 	KindDeadline         Kind = "deadline-exceeded"
 	KindOutcomeUnknown   Kind = "outcome-unknown"
@@ -64,6 +65,7 @@
 	KindOverloaded:       {http.StatusServiceUnavailable, "shed under overload", "retry after the time in Retry-After"},
 	KindNoUpstream:       {http.StatusServiceUnavailable, "no usable upstream", "retry after the time in Retry-After; operators: check the pool's members"},
 	KindDraining:         {http.StatusServiceUnavailable, "draining", "retry; another host takes the request"},
+	KindEvacuated:        {http.StatusServiceUnavailable, "zone evacuated", "retry; operators: end the evacuation of the zone or add capacity in others"},
 	KindTablesStale:      {http.StatusServiceUnavailable, "tables cannot be shown to be current", "retry; operators: check this host's way to the platform and to other members"},
 	KindDeadline:         {http.StatusGatewayTimeout, "deadline exceeded", "allow more time with Request-Timeout, or retry later"},
 	KindOutcomeUnknown:   {http.StatusGatewayTimeout, "outcome unknown", "check whether the request took effect before sending it again"},
--- a/internal/version/confirmation/chooser.go
+++ b/internal/version/confirmation/chooser.go
@@ -71,6 +71,9 @@
 	// Started is the time since the daemon's start, Listed the time since it first read
 	// the directory, 0 if it has not.
 	Started, Listed time.Duration
+	// Restored is true if the store was ever restored from an older copy. It may then lack
+	// versions that members have in force.
+	Restored bool
 }
 
 // Chooser chooses the source of the next confirmation.
@@ -115,15 +118,16 @@
 	if c.reading = isReader(c.self, c.zone, c.reading, s.Members); !c.reading {
 		c.confirmed = false
 	}
+	member, ok := c.candidate(now, s)
+	newer := c.newestVersion(s) > s.Version
+	fetchable := ok && member.Version > s.Version
 	switch {
+	case c.reading && fetchable && s.Restored: // the store may never return that version
 	case c.reading && c.failures == 0 && !c.recheck:
 		return Step{Kind: Poll}
 	case c.reading && now >= c.storeAt:
 		return Step{Kind: ReadStore}
 	}
-	member, ok := c.candidate(now, s)
-	newer := c.newestVersion(s) > s.Version
-	fetchable := ok && member.Version > s.Version
 	switch {
 	case newer && !fetchable && now >= c.storeAt:
 		return Step{Kind: ReadStore} // the newer tables are at members that do not answer
