--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -21,7 +21,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +36,7 @@
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/process/rateshare"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
 	"tarragonshore.example/tarragonshore/internal/version/catalog"
 )
 
@@ -152,7 +152,7 @@
 		peer.Config{PingInterval: linkPingInterval, IdlePingInterval: idleLinkPingInterval, MinCheckInterval: linkCheckInterval,
 			SilenceTimeout: linkSilenceLimit, DialTimeout: peer.DefaultConfig.DialTimeout, Dial: deps.Network.Dial}, a)
 	a.dispatcher.hub = a.hub
-	a.executor.zoneEvacuated = func() bool { return slices.Contains(a.tables.evacuatedZones(), cfg.Zone) }
+	a.executor.zoneRefusal = func() *problem.Problem { return a.tables.zoneRefusal(cfg.Zone) }
 	a.tables.onChange = a.fleet.pruneArrivals
 	a.tables.announce = func() { a.broadcast(0) }
 	a.server.onChange = a.serverChanged
--- a/internal/process/agent/evacuation.go
+++ b/internal/process/agent/evacuation.go
@@ -6,6 +6,7 @@
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
+	"tarragonshore.example/tarragonshore/internal/request/problem"
 	"tarragonshore.example/tarragonshore/internal/version/storeview"
 )
 
@@ -120,7 +121,7 @@
 		case <-a.ctx.Done():
 			return
 		case <-ticker.C:
-			a.tables.updateEvacuations(a.tables.clock.now(), func(*storeview.Evacuations) {}) // the time to keep a zone may be over
+			a.tables.checkEvacuations()
 		case <-a.tables.evacuationsChanged:
 			zones := a.tables.evacuatedZones()
 			a.fleet.setEvacuated(time.Now(), zones)
@@ -129,6 +130,35 @@
 	}
 }
 
+// checkEvacuations ends the evacuations that were kept for long enough, and notes whether
+// the process was paused.
+func (t *tablesFollower) checkEvacuations() {
+	now := t.clock.now()
+	t.updateEvacuations(now, func(*storeview.Evacuations) {})
+	if former := t.checkedAt.Load(); former > 0 && now-time.Duration(former) > storeview.MaxPause {
+		t.resumedAt.Store(int64(now))
+		logging.WarningEvent("tables", "resumed", "paused_ms", (now - time.Duration(former)).Milliseconds())
+	}
+	t.checkedAt.Store(int64(now))
+}
+
+// zoneRefusal returns the refusal of attempts in a zone that is evacuated, or may be as far
+// as this daemon knows, or nil.
+func (t *tablesFollower) zoneRefusal(zone string) *problem.Problem {
+	switch {
+	case slices.Contains(t.evacuatedZones(), zone):
+		return evacuatedRefusal()
+	case storeview.Unsure(t.clock.now(), time.Duration(t.checkedAt.Load()), time.Duration(t.resumedAt.Load()), time.Duration(t.confirmed.Load())):
+		return problem.New(problem.KindTablesStale, "the daemon was paused and does not know yet whether its zone is evacuated").WithRetryAfter(briefRetryAfter)
+	}
+	return nil
+}
+
+// evacuatedRefusal returns the refusal of an attempt because of an evacuation.
+func evacuatedRefusal() *problem.Problem {
+	return problem.New(problem.KindEvacuated, "the availability zone of the host is evacuated").WithRetryAfter(briefRetryAfter)
+}
+
 // setEvacuated excludes the members of the evacuated zones from attempts.
 func (f *fleet) setEvacuated(now time.Time, zones []string) {
 	f.mu.Lock()
@@ -161,5 +191,11 @@
 	}
 }
 
-// inEvacuatedZone reports whether the own zone is evacuated. The caller holds mu.
-func (e *executor) inEvacuatedZone() bool { return e.evacuated || e.zoneEvacuated() }
+// refusalInZone returns the refusal of attempts because of an evacuation of the own zone, or
+// nil. The caller holds mu.
+func (e *executor) refusalInZone() *problem.Problem {
+	if e.evacuated {
+		return evacuatedRefusal()
+	}
+	return e.zoneRefusal()
+}
--- a/internal/process/agent/evacuation_test.go
+++ b/internal/process/agent/evacuation_test.go
@@ -26,15 +26,21 @@
 }
 
 func (s *restoredStore) Newest(ctx context.Context) (Publication, error) {
-	s.from = append(s.from, -1)
+	s.record(-1)
 	return s.step(ctx)
 }
 
 func (s *restoredStore) Next(ctx context.Context, from Offset, _ time.Duration) (Publication, error) {
-	s.from = append(s.from, int(from))
+	s.record(int(from))
 	return s.step(ctx)
 }
 
+func (s *restoredStore) record(from int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.from = append(s.from, from)
+}
+
 func response(era uint64, next Offset, version catalog.Version, changes ...storeview.Change) func() (Publication, error) {
 	return func() (Publication, error) {
 		p := Publication{Era: era, Next: next, Evacuations: changes}
@@ -65,7 +71,9 @@
 		go func() { defer close(done); follower.follow(ctx) }()
 		time.Sleep(time.Second)
 		synctest.Wait()
+		store.mu.Lock()
 		g.Expect(store.from).To(Equal([]int{-1, 5, -1, 6, -1, 8}))
+		store.mu.Unlock()
 		g.Expect(follower.version()).To(Equal(catalog.Version(7)))
 		g.Expect(follower.evacuatedZones()).To(Equal([]string{"north"}))
 		time.Sleep(storeview.RewriteTime)
@@ -111,7 +119,8 @@
 }
 
 // Guards against a call that is given up since more servers of an evacuated zone refuse it
-// than may fail to be reached, and against a false "not executed".
+// than may fail to be reached, against a false "not executed", and against attempts that a
+// process which was paused starts before it has heard of an evacuation.
 func TestEvacuationRefusalsAreNotCounted(t *testing.T) {
 	g := NewWithT(t)
 	const servers = maxNotReached + 3
@@ -139,6 +148,21 @@
 	f.setEvacuated(time.Now(), nil)
 	g.Expect(f.usableMembers()).To(BeEquivalentTo(servers))
 	g.Expect(ended).To(BeFalse())
+	follower := newTablesFollower(&scriptedStore{}, 5*time.Second, "host-0", "z")
+	e.zoneRefusal = func() *problem.Problem { return follower.zoneRefusal("z") }
 	e.setEvacuated(false)
 	g.Expect(ended).To(BeTrue(), "the server may have restarted")
+	g.Expect(e.refusalInZone()).To(BeNil())
+	boot := time.Minute
+	follower.clock = bootClock{boot: func() time.Duration { return boot }, instant: func() instant { return instant{monotonic: boot} }}
+	for range 3 { // pauses
+		follower.checkEvacuations()
+		boot += storeview.MaxPause + time.Second
+		g.Expect(e.refusalInZone().Executed).To(Equal(problem.ExecutedNo), "the process was paused, and may have missed an evacuation")
+		follower.checkEvacuations()
+		boot += storeview.ResumeTime / 2
+		g.Expect(e.refusalInZone()).NotTo(BeNil())
+		follower.confirm(boot)
+		g.Expect(e.refusalInZone()).To(BeNil())
+	}
 }
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,9 +80,9 @@
 	loadNumber                         uint64
 	draining                           bool
 	evacuated                          bool // the own zone is evacuated
-	// zoneEvacuated tells the newest state of the own zone, which setEvacuated puts into
-	// effect a little later.
-	zoneEvacuated func() bool
+	// zoneRefusal returns the refusal by the newest state of the own zone, which
+	// setEvacuated puts into effect a little later, or nil.
+	zoneRefusal func() *problem.Problem
 	// onEvacuationEnd is called without the lock when the evacuation of the own zone has
 	// ended, before attempts are accepted: the backend server may have restarted unnoticed.
 	onEvacuationEnd func()
@@ -95,7 +96,7 @@
 		protocol: protocol, server: s, backend: x, metrics: m, log: log,
 		queue: runqueue.New(), runs: make(map[wire.AttemptID]*run),
 		startedByRequest: make(map[string]*run), callEstimator: shedding.NewCallEstimator(),
-		queued: make(chan struct{}, 1), zoneEvacuated: func() bool { return false }, onEvacuationEnd: func() {},
+		queued: make(chan struct{}, 1), zoneRefusal: func() *problem.Problem { return nil }, onEvacuationEnd: func() {},
 	}
 }
 
@@ -116,10 +117,11 @@
 // checkServer returns the refusal of an attempt that the local backend server cannot
 // run in its present state, or nil.
 func (e *executor) checkServer(now time.Time, attempt *wire.Attempt) *problem.Problem {
+	if refused := e.refusalInZone(); refused != nil {
+		return refused
+	}
 	view := e.server.view(now)
 	switch {
-	case e.inEvacuatedZone():
-		return evacuatedRefusal()
 	case e.draining || view.State == wire.ServerDraining:
 		return problem.New(problem.KindDraining, "backend server "+view.Server+" is draining").WithRetryAfter(briefRetryAfter)
 	case view.Server != attempt.Server || view.Service != attempt.Pool:
@@ -206,13 +208,13 @@
 	defer cancel()
 	e.mu.Lock()
 	r.cancel = cancel
-	abandoned, evacuated := r.abandoned, e.inEvacuatedZone()
+	abandoned, refused := r.abandoned, e.refusalInZone()
 	e.mu.Unlock()
 	if abandoned {
 		cancel()
 	}
-	if evacuated {
-		e.finish(r, nil, errZoneEvacuated)
+	if refused != nil { // since it was queued
+		e.finish(r, nil, refused)
 		return
 	}
 	if e.server.startsForbidden() {
@@ -243,15 +245,6 @@
 // been draining for too long, for example since this process was paused.
 var errStartForbidden = errors.New("the backend server has been draining for longer than attempts may be started; send the request to another server")
 
-// errZoneEvacuated means that the zone was evacuated between the start of an attempt and
-// its request to the backend server.
-var errZoneEvacuated = errors.New("the availability zone of the host is evacuated; send the request to a server of another zone")
-
-// evacuatedRefusal returns the refusal of an attempt because of an evacuation.
-func evacuatedRefusal() *problem.Problem {
-	return problem.New(problem.KindEvacuated, errZoneEvacuated.Error()).WithRetryAfter(briefRetryAfter)
-}
-
 // finish sends the answer to a run that has ended and starts queued attempts in the
 // slot that it has freed.
 func (e *executor) finish(r *run, response *backend.Response, err error) {
@@ -316,7 +309,7 @@
 func (e *executor) isServerFailure(r *run, answer *wire.Answer) bool {
 	if answer.Response == nil {
 		kind := problem.Kind(answer.Refusal.Kind)
-		return kind != problem.KindDeadline && kind != problem.KindDraining && kind != problem.KindEvacuated
+		return !slices.Contains([]problem.Kind{problem.KindDeadline, problem.KindDraining, problem.KindEvacuated, problem.KindTablesStale}, kind)
 	}
 	madeNoCalls := len(r.calls) == 0 && (e.callsAttributed || !e.callsUnattributed)
 	return answer.Response.Status == http.StatusInternalServerError && madeNoCalls
@@ -347,8 +340,9 @@
 	if errors.Is(err, errStartForbidden) {
 		return wireRefusal(problem.New(problem.KindDraining, err.Error()).WithRetryAfter(briefRetryAfter)), false
 	}
-	if errors.Is(err, errZoneEvacuated) {
-		return wireRefusal(evacuatedRefusal()), false
+	var refused *problem.Problem
+	if errors.As(err, &refused) {
+		return wireRefusal(refused), false
 	}
 	var failure *backend.Error
 	if errors.As(err, &failure) && failure.NotExecuted {
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -96,7 +96,10 @@
 	evacuated atomic.Pointer[[]string]
 	// evacuationsChanged has an element if evacuated has changed.
 	evacuationsChanged chan struct{}
-	era                atomic.Uint64 // the greatest era of the store that is known
+	// checkedAt is the time of the last periodic check of the evacuations, resumedAt that of
+	// the last one before which the process was paused for storeview.MaxPause.
+	checkedAt, resumedAt atomic.Int64
+	era                  atomic.Uint64 // the greatest era of the store that is known
 
 	mu          sync.Mutex
 	parked      map[uint64]parkedQuestion // by link number
--- a/internal/version/storeview/storeview.go
+++ b/internal/version/storeview/storeview.go
@@ -64,7 +64,7 @@
 
 // AloneTime is how long after its start a daemon waits for the status of another one before
 // it takes the newest version of a restored store for the newest of all. The directory may
-// have lost its records too, and the others write them again within 2 s.
+// have lost its records too, and the others write them again within a second.
 const AloneTime = 3 * time.Second
 
 // Read describes a valid read of the store.
@@ -111,6 +111,25 @@
 	return p.latest
 }
 
+const (
+	// MaxPause is the time for which a process may be paused without missing an evacuation
+	// for longer than the 5 s that the platform allows.
+	MaxPause = 4 * time.Second
+	// ResumeTime is the time after a longer pause in which a daemon is sure to have learned
+	// of an evacuation that it missed, from the store or from the statuses of others, which
+	// come every 500 ms.
+	ResumeTime = time.Second
+)
+
+// Unsure reports whether a process has been paused for so long that it may have missed an
+// evacuation, and has not caught up yet. checked is the time of the last periodic
+// check, resumed that of the first one after a longer pause, 0 if there was none, and
+// confirmed the time up to which the tables are known to be the newest.
+func Unsure(now, checked, resumed, confirmed time.Duration) bool {
+	paused := checked > 0 && now-checked > MaxPause
+	return paused || resumed > 0 && now-resumed < ResumeTime && confirmed < resumed
+}
+
 // Record tracks whether the directory holds this daemon's record. The zero value: not
 // written yet.
 type Record struct {
