agent: the check of the directory record after a restore is repeated every 2 s only

Cause: a daemon that the store turns away would have called the directory twice a second for as long as its record was due to be checked. Change: such a read is repeated after 2 s.

--- a/internal/process/agent/directory.go
+++ b/internal/process/agent/directory.go
@@ -18,6 +18,9 @@
 	// directoryCheckInterval is the time between checks whether a call to the directory is
 	// due, which a call that has failed is.
 	directoryCheckInterval = 500 * time.Millisecond
+	// recordCheckInterval is the time between reads that are due because of a restore of the
+	// store. All daemons make them, also those that the store turns away for long.
+	recordCheckInterval = 2 * time.Second
 	// lateWriteTime is how long after a member's start the directory may still change by
 	// writes of its former process, which the store executes late.
 	lateWriteTime = 10 * time.Second
@@ -32,6 +35,8 @@
 // It is used by one goroutine.
 type directorySync struct {
 	record storeview.Record
+	// checkAt is the time before which the record is not looked for again.
+	checkAt time.Time
 	// readAt is when the directory was last read; zero: not since the record was written.
 	readAt time.Time
 	// fencedWrites is the number of writes in a row that the store has fenced off.
@@ -64,14 +69,16 @@
 func (a *Agent) syncDirectory() {
 	var s directorySync
 	for a.ctx.Err() == nil {
-		if s.record.CheckDue(a.tables.era.Load()) {
-			s.readAt = time.Time{}
-		}
 		if s.record.WriteDue() && !a.leaving.Load() && a.register(&s) {
 			s.readAt = time.Time{}
 		}
 		readsStore := wire.TablesSource(a.tables.source.Load()) == wire.SourceStore
-		if s.readDue(time.Now(), a.fleet.lastMemberStart(), readsStore) && a.readDirectory(&s) {
+		now := time.Now()
+		check := s.record.CheckDue(a.tables.era.Load()) && !now.Before(s.checkAt)
+		if check {
+			s.checkAt = now.Add(recordCheckInterval)
+		}
+		if (check || s.readDue(now, a.fleet.lastMemberStart(), readsStore)) && a.readDirectory(&s) {
 			s.readAt = time.Now()
 		}
 		select {
--- a/internal/version/confirmation/confirmation_test.go
+++ b/internal/version/confirmation/confirmation_test.go
@@ -227,6 +227,20 @@
 	return choosers
 }
 
+// Guards against a reader that started after a restore of the store, and stays with the
+// version of the older copy while members have the one that the store has lost.
+func TestReaderOfARestoredStoreAsksForNewerVersions(t *testing.T) {
+	g := NewWithT(t)
+	state := State{Members: []Member{{Name: "host-1", Zone: "z", Version: 2, Answers: true, StoreLost: true}}, Version: 1, Started: time.Minute, Listed: time.Minute}
+	c := NewChooser("host-0", "z")
+	c.reading = true
+	g.Expect(c.Next(0, state).Kind).To(Equal(Poll), "the store returns it")
+	state.Restored = true
+	g.Expect(c.Next(0, state)).To(Equal(Step{Kind: Ask, Member: "host-1"}))
+	c.Unanswered(0, "host-1")
+	g.Expect(c.Next(0, state).Kind).To(Equal(Poll))
+}
+
 // Guards against store calls that grow with the hosts: one daemon per zone polls, at 16,
 // 95 and 1,100 hosts, and the others ask the reader of their zone and park the question.
 func TestOneReaderPerZone(t *testing.T) {
