--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -91,6 +91,13 @@
 	speed                              serverspeed.Speed
 	returnLines                        *logging.Limiter
 	lastResponse                       time.Time // when a run last ended with a response
+	evacuated                          bool      // the own zone is evacuated
+	// zoneRefusal returns the refusal by the newest state of the own zone, which
+	// setEvacuated puts into effect a little later, or nil.
+	zoneRefusal func() *problem.Problem
+	// onEvacuationEnd is called without the lock when the evacuation of the own zone has
+	// ended, before attempts are accepted: the backend server may have restarted unnoticed.
+	onEvacuationEnd func()
 	// queued has an element if expireQueued has to be woken.
 	queued chan struct{}
 	wg     sync.WaitGroup
@@ -102,6 +109,7 @@
 		queue: runqueue.New(), runs: make(map[wire.AttemptID]*run),
 		startedByRequest: make(map[string]*run), callEstimator: shedding.NewCallEstimator(),
 		queued: make(chan struct{}, 1), returnLines: logging.NewLimiter(maxReturnLines),
+		zoneRefusal: func() *problem.Problem { return nil }, onEvacuationEnd: func() {},
 	}
 	e.queue.SetStartLimiter(startLimiter{s})
 	return e
@@ -138,6 +146,9 @@
 // checkServer returns the refusal of an attempt that the local backend server cannot
 // run in its present state, or nil.
 func (e *executor) checkServer(now time.Time, attempt *wire.Attempt) *problem.Problem {
+	if refused := e.refusalInZone(); refused != nil {
+		return refused
+	}
 	view := e.server.view(now)
 	switch {
 	case e.draining || view.State == wire.ServerDraining:
@@ -255,11 +266,15 @@
 	defer cancel()
 	e.mu.Lock()
 	r.cancel = cancel
-	abandoned := r.abandoned
+	abandoned, refused := r.abandoned, e.refusalInZone()
 	e.mu.Unlock()
 	if abandoned {
 		cancel()
 	}
+	if refused != nil { // since it was queued
+		e.finish(r, nil, refused)
+		return
+	}
 	if e.server.startsForbidden() {
 		e.finish(r, nil, errStartForbidden)
 		return
@@ -372,7 +387,7 @@
 func (e *executor) isServerFailure(r *run, answer *wire.Answer) bool {
 	if answer.Response == nil {
 		kind := problem.Kind(answer.Refusal.Kind)
-		return kind != problem.KindDeadline && kind != problem.KindDraining
+		return !slices.Contains([]problem.Kind{problem.KindDeadline, problem.KindDraining, problem.KindEvacuated, problem.KindTablesStale}, kind)
 	}
 	madeNoCalls := len(r.calls) == 0 && (e.callsAttributed || !e.callsUnattributed)
 	return answer.Response.Status == http.StatusInternalServerError && madeNoCalls
@@ -405,6 +420,10 @@
 	if errors.Is(err, errStartForbidden) {
 		return wireRefusal(problem.New(problem.KindDraining, err.Error()).WithRetryAfter(briefRetryAfter)), false
 	}
+	var refused *problem.Problem
+	if errors.As(err, &refused) {
+		return wireRefusal(refused), false
+	}
 	var failure *backend.Error
 	if errors.As(err, &failure) && failure.NotExecuted {
 		e.server.connectionRefused(time.Now())
@@ -441,29 +460,33 @@
 // continues.
 func (e *executor) withdraw(id wire.AttemptID) {
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
-		e.withdrawLocked(id, "withdrawn by a daemon that is stopping", out)
+		e.withdrawLocked(id, drainingRefusal("withdrawn by a daemon that is stopping"), out)
 		return runqueue.Actions{}
 	})
 }
 
 // withdrawQueued refuses all attempts that have not started as not executed.
-func (e *executor) withdrawQueued(detail string) {
+func (e *executor) withdrawQueued(refused *problem.Problem) {
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
 		for id := range e.runs {
-			e.withdrawLocked(id, detail, out)
+			e.withdrawLocked(id, refused, out)
 		}
 		return runqueue.Actions{}
 	})
 }
 
-// withdrawLocked is withdraw for callers that hold mu.
-func (e *executor) withdrawLocked(id wire.AttemptID, detail string, out *[]outgoingAnswer) {
+// drainingRefusal returns the refusal of an attempt that a stop or a drain has withdrawn.
+func drainingRefusal(detail string) *problem.Problem {
+	return problem.New(problem.KindDraining, detail).WithRetryAfter(briefRetryAfter)
+}
+
+// withdrawLocked refuses an attempt that has not started. The caller holds mu.
+func (e *executor) withdrawLocked(id wire.AttemptID, refused *problem.Problem, out *[]outgoingAnswer) {
 	r, ok := e.runs[id]
 	if !ok || !e.queue.Cancel(id) {
 		return
 	}
 	delete(e.runs, id)
-	refused := problem.New(problem.KindDraining, detail).WithRetryAfter(briefRetryAfter)
 	*out = append(*out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, refused)})
 }
 
@@ -497,7 +520,7 @@
 // refuseQueued refuses the attempts that are still queued at a server that is draining.
 func (e *executor) refuseQueued() {
 	if e.server.view(time.Now()).State == wire.ServerDraining {
-		e.withdrawQueued("the backend server is draining")
+		e.withdrawQueued(drainingRefusal("the backend server is draining"))
 	}
 }
 
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -191,7 +191,7 @@
 		refused[a.ID[0]] = true
 	}
 	g.Expect(refused).To(HaveLen(2*each), "all that can be moved, since the others fill the queue")
-	e.withdrawQueued("")
+	e.withdrawQueued(drainingRefusal(""))
 	for len(answers) > 0 {
 		<-answers
 	}
