agent: the test of a restarted server takes its times after the server's state is created

The limiter of a new server state takes the present time for a sign of a restart. The times of the test began before, so that its result depended on the order of the cases.

--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -90,22 +90,23 @@
 }
 
 // limitedServer returns the state of a warm server whose service limits cold ones to 16
-// requests per second.
-func limitedServer(t *testing.T, now time.Time) *serverState {
+// requests per second, and a time after its start.
+func limitedServer(t *testing.T) (*serverState, time.Time) {
 	t.Helper()
 	s := newServerState(heartbeatInterval, ownAddress)
+	now := time.Now()
 	c, err := catalog.New(catalog.Content{Version: 1, Services: []string{"stock"}, WarmUps: []catalog.WarmUp{{Service: "stock", Rate: 16, HealthPath: "/health"}}})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	s.setTables(now, c)
 	_ = s.applyHeartbeat(now, testHeartbeat("a", 5, 1, StateReady))
 	s.applyHealth(now.Add(time.Millisecond), now.Add(time.Millisecond), HealthFields{Server: "a"})
-	return s
+	return s, now
 }
 
 // Guards against a limit that does not begin with a restart, or that a message from before
 // the restart or from another server lifts.
 func TestLimitOfARestartedServer(t *testing.T) {
-	begun := time.Now()
+	var begun time.Time
 	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
 	beat := func(s *serverState, ms int, started, sequence int64, warmUp time.Duration) {
 		h := testHeartbeat("a", started, sequence, StateReady)
@@ -135,7 +136,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := limitedServer(t, begun)
+			var s *serverState
+			s, begun = limitedServer(t)
 			c.events(s)
 			state, url := s.warmUpState(at(1000))
 			g.Expect(state.limited).To(Equal(c.limited))
