--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -170,7 +170,7 @@
 func TestQueueOfAColdServerIsShort(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	s := limitedServer(t, now.Add(-2*time.Second))
+	s, _ := limitedServer(t, 2*time.Second)
 	cold := testHeartbeat("a", 5, 2, StateReady)
 	cold.WarmUp = time.Minute
 	_ = s.applyHeartbeat(now, cold)
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -90,11 +90,12 @@
 }
 
 // limitedServer returns the state of a warm server whose service limits cold ones to 16
-// requests per second, and a time after its start.
-func limitedServer(t *testing.T) (*serverState, time.Time) {
+// requests per second, and the time of its reports: ago before now, which is after
+// the creation of the state if ago is 0.
+func limitedServer(t *testing.T, ago time.Duration) (*serverState, time.Time) {
 	t.Helper()
 	s := newServerState(heartbeatInterval, ownAddress)
-	now := time.Now()
+	now := time.Now().Add(-ago)
 	c, err := catalog.New(catalog.Content{Version: 1, Services: []string{"stock"}, WarmUps: []catalog.WarmUp{{Service: "stock", Rate: 16, HealthPath: "/health"}}})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	s.setTables(now, c)
@@ -137,7 +138,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			var s *serverState
-			s, begun = limitedServer(t)
+			s, begun = limitedServer(t, 0)
 			c.events(s)
 			state, url := s.warmUpState(at(1000))
 			g.Expect(state.limited).To(Equal(c.limited))
