--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -94,6 +94,7 @@
 func limitedServer(t *testing.T, now time.Time) *serverState {
 	t.Helper()
 	s := newServerState(heartbeatInterval, ownAddress)
+	s.warmUp = warmup.New(now, warmup.Tolerance{Overage: 1}, 3*time.Second)
 	c, err := catalog.New(catalog.Content{Version: 1, Services: []string{"stock"}, WarmUps: []catalog.WarmUp{{Service: "stock", Rate: 16, HealthPath: "/health"}}})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	s.setTables(now, c)
