--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -90,24 +90,23 @@
 }
 
 // limitedServer returns the state of a warm server whose service limits cold ones to 16
-// requests per second, and the time of its reports: ago before now, which is after
-// the creation of the state if ago is 0.
-func limitedServer(t *testing.T, ago time.Duration) (*serverState, time.Time) {
+// requests per second.
+func limitedServer(t *testing.T, now time.Time) *serverState {
 	t.Helper()
 	s := newServerState(heartbeatInterval, ownAddress)
-	now := time.Now().Add(-ago)
+	s.warmUp = warmup.New(now, warmup.Tolerance{Overage: 1}, 3*time.Second)
 	c, err := catalog.New(catalog.Content{Version: 1, Services: []string{"stock"}, WarmUps: []catalog.WarmUp{{Service: "stock", Rate: 16, HealthPath: "/health"}}})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	s.setTables(now, c)
 	_ = s.applyHeartbeat(now, testHeartbeat("a", 5, 1, StateReady))
 	s.applyHealth(now.Add(time.Millisecond), now.Add(time.Millisecond), HealthFields{Server: "a"})
-	return s, now
+	return s
 }
 
 // Guards against a limit that does not begin with a restart, or that a message from before
 // the restart or from another server lifts.
 func TestLimitOfARestartedServer(t *testing.T) {
-	var begun time.Time
+	begun := time.Now()
 	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
 	beat := func(s *serverState, ms int, started, sequence int64, warmUp time.Duration) {
 		h := testHeartbeat("a", started, sequence, StateReady)
@@ -137,8 +136,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			var s *serverState
-			s, begun = limitedServer(t, 0)
+			s := limitedServer(t, begun)
 			c.events(s)
 			state, url := s.warmUpState(at(1000))
 			g.Expect(state.limited).To(Equal(c.limited))
