agent: a late deregistration and a heartbeat of another writer do not change the server's state

Cause: the start time in a deregistration was not read, so that the late notice of a former start took a new start under the same id out of use; a heartbeat without a start time was taken for another start and undid a deregistration. Change: both are compared with the start time that the server has stated.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -281,8 +281,11 @@
 	return a.server.applyHeartbeat(time.Now(), heartbeat)
 }
 
-// DeregisterServer processes a backend server's notice that it is shutting down.
-func (a *Agent) DeregisterServer(server string) { a.server.deregister(time.Now(), server) }
+// DeregisterServer processes a backend server's notice that it is shutting down. started is
+// its start time in Unix milliseconds, 0 if unknown.
+func (a *Agent) DeregisterServer(server string, started int64) {
+	a.server.deregister(time.Now(), server, started)
+}
 
 // serverChanged applies a new view of the backend server. If its id or state has
 // changed, the status is broadcast at once, ahead of the next interval.
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -117,11 +117,14 @@
 	return s.drainingSince > 0 && s.clock.now()-s.drainingSince > drainingQueueTime
 }
 
-// stale reports whether a heartbeat is older than the last one. The caller holds mu.
+// stale reports whether a heartbeat is older than the last one, or comes from another
+// writer: a server that has stated its start time states it always. The caller holds mu.
 func (s *serverState) stale(h Heartbeat) bool {
 	switch {
 	case s.last.Server == "":
 		return false
+	case h.Started == 0 && s.last.Started != 0:
+		return true
 	case h.Started != 0 && s.last.Started != 0 && h.Started != s.last.Started:
 		return h.Started < s.last.Started
 	case h.Server == s.last.Server:
@@ -131,10 +134,11 @@
 }
 
 // deregister records that the server with this id is shutting down. The notice of a
-// former server is ignored.
-func (s *serverState) deregister(now time.Time, id string) {
+// former server, or of a former start under the same id, is ignored.
+func (s *serverState) deregister(now time.Time, id string, started int64) {
 	s.mu.Lock()
-	if id != s.last.Server && s.last.Server != "" {
+	formerStart := started != 0 && started < s.last.Started
+	if s.last.Server != "" && (id != s.last.Server || formerStart) {
 		s.mu.Unlock()
 		return
 	}
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -41,13 +41,22 @@
 		}, 0, wire.ServerDraining},
 		"it deregisters, then sends a heartbeat": {func(s *serverState) {
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
-			s.deregister(now, "a")
+			s.deregister(now, "a", 0)
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 6, StateReady))
 		}, 0, wire.ServerDraining},
 		"another server deregisters": {func(s *serverState) {
 			_ = s.applyHeartbeat(now, testHeartbeat("b", 2, 1, StateReady))
-			s.deregister(now, "a")
+			s.deregister(now, "a", 0)
 		}, 0, wire.ServerReady},
+		"a former start deregisters late": {func(s *serverState) {
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 2, 1, StateReady))
+			s.deregister(now, "a", 1)
+		}, 0, wire.ServerReady},
+		"it deregisters, then another writer sends a heartbeat without a start time": {func(s *serverState) {
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
+			s.deregister(now, "a", 1)
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 0, 9, StateReady))
+		}, 0, wire.ServerDraining},
 		"it restarts with the same id": {func(s *serverState) {
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 50, StateDraining))
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 2, 1, StateReady))
