agent: a caller that leaves while the connection is opened does not take the server out of use

Cause: a cancelled dial counted as a refused connection, which takes the backend server out of use for a second, and is a sign of a restart. Change: it does not count. Measured: TestCancelledDialIsNoRefusal fails without the change.

--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -426,7 +426,9 @@
 	}
 	var failure *backend.Error
 	if errors.As(err, &failure) && failure.NotExecuted {
-		e.server.connectionRefused(time.Now())
+		if !errors.Is(err, context.Canceled) { // the caller has left while the connection was opened
+			e.server.connectionRefused(time.Now())
+		}
 		return wireRefusal(problem.New(problem.KindNoUpstream, err.Error()).WithRetryAfter(briefRetryAfter)), false
 	}
 	if !time.Now().Before(r.deadline) {
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -164,6 +165,26 @@
 	g.Expect(e.mayHaveMadeCall(now)).To(BeFalse(), "the ids of calls name their runs")
 }
 
+// Guards against a server that is taken out of use since a caller left while the connection
+// to it was opened. One that refuses the connection is.
+func TestCancelledDialIsNoRefusal(t *testing.T) {
+	for cancelled, want := range map[bool]wire.ServerState{true: wire.ServerReady, false: wire.ServerAbsent} {
+		g := NewWithT(t)
+		s := newServerState(heartbeatInterval, ownAddress)
+		_ = s.applyHeartbeat(time.Now(), testHeartbeat("a", 1, 1, StateReady))
+		e := newExecutor(noHeaders{}, s, backend.NewExchanger(1), nil, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		if cancelled {
+			cancel()
+		}
+		_, err := e.backend.Do(ctx, "127.0.0.1:1", backend.Exchange{Method: http.MethodGet, Target: "/"})
+		cancel()
+		_, reached := e.exchangeRefusal(&run{deadline: time.Now().Add(time.Second)}, err)
+		g.Expect(reached).To(BeFalse())
+		g.Expect(s.view(time.Now()).State).To(Equal(want))
+	}
+}
+
 // Guards against a cold server whose queue holds attempts that other upstreams would run
 // at once. The least important of those that can be moved are refused as not executed;
 // the others wait.
