admission feedback: throttle by refused calls, the lists in answers

Cause: the shedding plan follows a burst after one to two seconds. Until then trees are admitted whose calls the queues of a deep service refuse. Change: an answer carries the services whose queues refused a call of the run; each entry daemon keeps, per service, the trees of the last second and the refused ones, and lowers the admitted share of the trees that need it (package throttle). Setting admission.feedback, default false.

--- a/cmd/tarragon-agent/main.go
+++ b/cmd/tarragon-agent/main.go
@@ -136,7 +136,7 @@
 		Member: s.Name, Zone: s.Zone, Service: s.Service, ServerAddress: s.Backend.Address.String(),
 		HeartbeatInterval: s.Backend.HeartbeatInterval, RevokeBound: s.Platform.RevokeBound,
 		StopGrace:  s.Platform.Grace,
-		RetryLimit: s.Retries.Limit,
+		RetryLimit: s.Retries.Limit, AdmissionFeedback: s.Admission.Feedback,
 		Tolerance: rateshare.Tolerance{
 			Window: s.Rates.Window, Overage: s.Rates.Overage, Slack: float64(s.Rates.Slack),
 		},
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -201,6 +201,10 @@
 	// Reached is true if the backend server received the request, even if it then
 	// refused to run it.
 	Reached bool `cbor:"10,keyasint,omitempty"`
+	// RefusedBy lists the services whose queues refused a call for lack of room: Pool, if
+	// the attempt itself was refused so, and otherwise those that refused a call made during
+	// the run, directly or further down. Only tarragon-agent sets it.
+	RefusedBy []string `cbor:"11,keyasint,omitempty"`
 }
 
 // Load is the load of a backend server, as its daemon measures it.
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -5,7 +5,8 @@
 // server enter the system here, and the backend server is reached only through it.
 //
 // The agent wires together packages that decide without doing I/O: shedding
-// (which requests the fleet has capacity for), rateshare (how the workspaces'
+// (which requests the fleet has capacity for), throttle (which of these are refused since
+// queues refused calls of others), rateshare (how the workspaces'
 // rates are divided between daemons), zonespill (how much traffic leaves a zone),
 // placement (which upstream gets an attempt) and runqueue (which attempt the local backend server runs next). Daemons
 // exchange their status over UDP; attempts travel over peer links.
@@ -80,6 +81,9 @@
 	// RetryLimit bounds the retries that arrive at a service, as a fraction of the
 	// requests for it.
 	RetryLimit float64
+	// AdmissionFeedback lets the entry refuse requests whose calls queues refuse for lack of
+	// room, as the answers to other requests tell.
+	AdmissionFeedback bool
 	// Tolerance states how far workspaces may exceed their rates.
 	Tolerance rateshare.Tolerance
 }
@@ -142,6 +146,9 @@
 	a.server = newServerState(cfg.HeartbeatInterval, cfg.ServerAddress)
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation, cfg.Tolerance)
 	a.executor = newExecutor(deps.Protocol, a.server, backend.NewExchanger(maxBodyBytes), deps.Metrics, log)
+	if a.executor.feedback = cfg.AdmissionFeedback; cfg.AdmissionFeedback {
+		a.fleet.enableFeedback(deps.Metrics)
+	}
 	a.dispatcher = newDispatcher(a.fleet, a.executor, cfg.RetryLimit, deps.Metrics, log)
 	a.entry = &entryHandler{
 		protocol: deps.Protocol, tables: a.tables, fleet: a.fleet, executor: a.executor, dispatcher: a.dispatcher,
@@ -217,6 +224,10 @@
 			return err
 		}
 	}
+	if err := a.deps.Metrics.RegisterLabelledGauge("tarragon_throttle_share",
+		"Share of the requests that need a pool which the throttle admits, where it is below 1.", a.fleet.observeThrottle); err != nil {
+		return err
+	}
 	return a.deps.Metrics.RegisterLabelledGauge("tarragon_zone_share",
 		"Share of a pool's attempts that goes to an availability zone.", a.fleet.observeZoneShares)
 }
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,11 +97,18 @@
 }
 
 // dispatch sends attempts until one has a response for the caller or the call has to
-// be refused.
-func (d *dispatcher) dispatch(ctx context.Context, c *call) (*wire.Response, *problem.Problem) {
+// be refused. refusedBy lists the services that refused it, or a call made for it, for lack
+// of room.
+func (d *dispatcher) dispatch(ctx context.Context, c *call) (response *wire.Response, refusal *problem.Problem, refusedBy []string) {
 	d.countFirstAttempt(c)
-	reached, notReached := 0, 0
 	var outcome callOutcome
+	response, refusal = d.sendAttempts(ctx, c, &outcome)
+	return response, refusal, outcome.refusedBy()
+}
+
+// sendAttempts sends the attempts of a call and adds their results to outcome.
+func (d *dispatcher) sendAttempts(ctx context.Context, c *call, outcome *callOutcome) (*wire.Response, *problem.Problem) {
+	reached, notReached := 0, 0
 	for {
 		if d.stopping.Load() {
 			return outcome.finalAnswer("the daemon is stopping")
@@ -179,6 +187,9 @@
 	response   *wire.Response   // the latest response of a backend server
 	refusal    *problem.Problem // of the latest attempt, nil if that got a response
 	mayHaveRun bool             // an attempt ran or may have run
+	// deeper lists the services that refused calls made during the attempts that ran, own the
+	// service of the call if its queue refused the latest attempt.
+	deeper, own []string
 }
 
 // add records the result of an attempt.
@@ -190,6 +201,36 @@
 	if result.refusal == nil || result.refusal.Executed != problem.ExecutedNo {
 		o.mayHaveRun = true
 	}
+	o.own = nil
+	switch {
+	case result.answer == nil:
+	case result.answer.Reached:
+		o.deeper = mergeServices(o.deeper, result.answer.RefusedBy)
+	default:
+		o.own = result.answer.RefusedBy
+	}
+}
+
+// refusedBy returns the services that refused a call of the tree below this call, itself
+// included, for lack of room. A refusal after which the call was run elsewhere does not count.
+func (o *callOutcome) refusedBy() []string {
+	if o.response != nil || o.mayHaveRun {
+		return o.deeper
+	}
+	return mergeServices(o.deeper, o.own)
+}
+
+// maxRefusedBy bounds the services in an answer.
+const maxRefusedBy = 8
+
+// mergeServices returns the union of two lists, in order of name, so that no message depends
+// on the order of concurrent calls.
+func mergeServices(a, b []string) []string {
+	if len(b) == 0 {
+		return a
+	}
+	merged := slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
+	return merged[:min(len(merged), maxRefusedBy)]
 }
 
 // finalAnswer returns what the caller gets: the response of a backend server if
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -159,12 +159,18 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline.Add(answerGrace))
 	defer cancel()
-	return e.dispatcher.dispatch(ctx, &call{
+	response, refusal, refusedBy := e.dispatcher.dispatch(ctx, &call{
 		requestID: req.fields.RequestID, route: req.route.Name, service: e.chooseService(req.route, c.Version()), origin: e.originService(),
 		workspace: req.workspace, callerWorkspace: req.callerWorkspace, importance: req.importance, depth: req.depth, objective: req.objective,
 		idempotent: req.route.Idempotent, attempts: req.route.MaxAttempts, latencyTarget: req.route.LatencyTarget,
 		deadline: req.deadline, request: request,
 	})
+	if req.workspace == "" {
+		e.executor.recordRefused(req.fields.RequestID, refusedBy)
+	} else {
+		e.fleet.treeEnded(time.Now(), req.route.Name, refusedBy)
+	}
+	return response, refusal
 }
 
 func bodyLimit(c *catalog.Catalog) int64 {
@@ -277,7 +283,7 @@
 	if ok, wait := e.fleet.takeToken(now, req.workspace, limitOf(c, req.workspace), uint8(req.route.Importance)); !ok {
 		return problem.New(problem.KindRateExceeded, "workspace "+req.workspace+" is over its rate").WithRetryAfter(wait)
 	}
-	if ok, detail := e.fleet.admit(req.route.Name, req.importance); !ok {
+	if ok, detail := e.fleet.admit(now, req.route.Name, req.importance); !ok {
 		e.fleet.returnToken(req.workspace)
 		return problem.New(problem.KindOverloaded, detail).WithRetryAfter(e.shedRetryAfter(req))
 	}
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -52,6 +52,7 @@
 	cancel    context.CancelFunc // set once it has started
 	calls     map[string]int     // number of calls that it made, by route
 	abandoned bool               // nothing waits for the answer any more
+	refusedBy []string           // services that refused a call of the run for lack of room
 }
 
 // outgoingAnswer is an answer to be sent once the lock is released.
@@ -68,6 +69,8 @@
 	backend  *backend.Exchanger
 	metrics  *metrics.Metrics
 	log      *requestLog
+	// feedback is true if answers carry the services that refused calls for lack of room.
+	feedback bool
 
 	mu    sync.Mutex
 	queue *runqueue.Queue
@@ -158,7 +161,11 @@
 		}
 		delete(e.runs, refusal.ID)
 		e.metrics.RecordQueueRefusal(string(refusal.Reason))
-		out = append(out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, queueRefusal(refusal.Reason))})
+		answer := e.refusalAnswer(r.attempt, queueRefusal(refusal.Reason))
+		if e.feedback && refusal.Reason != runqueue.ReasonNoSlots {
+			answer.RefusedBy = []string{r.attempt.Pool}
+		}
+		out = append(out, outgoingAnswer{r.receiver, answer})
 	}
 	if e.queue.Waiting() > 0 {
 		select {
@@ -277,7 +284,7 @@
 		if e.callsAttributed && answer.Response != nil && answer.Response.Status < http.StatusInternalServerError {
 			e.callEstimator.RecordCalls(r.attempt.Route, r.calls)
 		}
-		answer.Load = e.load()
+		answer.Load, answer.RefusedBy = e.load(), r.refusedBy
 		if !r.abandoned {
 			*out = append(*out, outgoingAnswer{r.receiver, answer})
 		}
@@ -495,6 +502,19 @@
 	return inherited{importance: context.Importance, depth: depth, workspace: context.RootWorkspace(), objective: parent.objective}, true
 }
 
+// recordRefused adds services that refused a call for lack of room to the answer of the run
+// that made the call, if the call's id names it.
+func (e *executor) recordRefused(requestID string, services []string) {
+	if len(services) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if parent := e.startedByRequest[e.protocol.ParentID(requestID)]; parent != nil && e.feedback {
+		parent.refusedBy = mergeServices(parent.refusedBy, services)
+	}
+}
+
 // mayHaveMadeCall reports whether a request without a key, whose id names no run in
 // progress, can be a call that one of them has made: a call expires with its run.
 func (e *executor) mayHaveMadeCall(deadline time.Time) bool {
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -75,6 +75,7 @@
 	// planLoggedAt is when the shedding plan was last logged.
 	planLoggedAt time.Time
 	zones        zoneTraffic
+	feedback     admissionFeedback
 	limiter      *rateshare.Limiter
 	rng          *rand.Rand
 	// arrivals holds the rate of the callers' requests that entered at this daemon.
--- a/internal/process/agent/plan.go
+++ b/internal/process/agent/plan.go
@@ -22,9 +22,9 @@
 )
 
 // admit counts a caller's request and decides whether the services that it needs,
-// directly or through the calls it causes, have capacity for it. If not, detail says
-// why.
-func (f *fleet) admit(route string, importance uint8) (admitted bool, detail string) {
+// directly or through the calls it causes, have capacity for it, by the shedding plan and,
+// where it is enabled, by the throttle. If not, detail says why.
+func (f *fleet) admit(now time.Time, route string, importance uint8) (admitted bool, detail string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a := arrivalKey{route, importance}
@@ -34,10 +34,11 @@
 		f.arrivals[a] = r
 	}
 	r.Add()
+	f.feedback.arrive(now, route, importance)
 	admitted, service := f.plan.Admit(route, importance)
 	switch {
 	case admitted:
-		return true, ""
+		return f.feedback.admit(now, route, importance, f.plan.Share(route, importance))
 	case f.plan.Infeasible(route):
 		return false, "service " + service + " fails too many of the calls that the request needs"
 	}
@@ -94,6 +95,7 @@
 	}
 	f.plan.Update(reports, c.TrafficSplit)
 	f.logPlan(now)
+	f.feedback.log(now)
 	f.zones.update(now, byZone, f.plan.Share, c.TrafficSplit)
 	for service, table := range f.placements {
 		table.SetShares(f.zones.sharesOf(service))
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -39,6 +39,8 @@
 	repeatedIDs     metric.Int64Counter
 	zoneAttempts    metric.Int64Counter
 	zoneBytes       metric.Int64Counter
+	throttled       metric.Int64Counter
+	refusedTrees    metric.Int64Counter
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -155,6 +157,14 @@
 		metric.WithDescription("Bytes of the requests and responses of these attempts, without the overhead of the peer link, by pool and by zone.")); err != nil {
 		return err
 	}
+	if m.throttled, err = m.meter.Int64Counter("tarragon_throttled",
+		metric.WithDescription("Callers' requests that the shedding plan admitted and the throttle refused, by the pool that has refused calls.")); err != nil {
+		return err
+	}
+	if m.refusedTrees, err = m.meter.Int64Counter("tarragon_refused_trees",
+		metric.WithDescription("Callers' requests, admitted at this daemon, of which a queue finally refused a call for lack of room, by pool.")); err != nil {
+		return err
+	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links that came up or went down, by event."))
 	return err
@@ -216,6 +226,22 @@
 	m.zoneBytes.Add(context.Background(), int64(bytes), labels)
 }
 
+// RecordThrottled records a request that was refused since a pool refuses calls.
+func (m *Metrics) RecordThrottled(pool string) {
+	if m == nil {
+		return
+	}
+	m.throttled.Add(context.Background(), 1, m.withLabels("pool", pool))
+}
+
+// RecordRefusedTree records a request of which a queue of a pool refused a call.
+func (m *Metrics) RecordRefusedTree(pool string) {
+	if m == nil {
+		return
+	}
+	m.refusedTrees.Add(context.Background(), 1, m.withLabels("pool", pool))
+}
+
 // RecordQueueDelay records how long an attempt waited in the queue for the backend
 // server.
 func (m *Metrics) RecordQueueDelay(pool string, delay time.Duration) {
--- a/internal/process/settings/agent.go
+++ b/internal/process/settings/agent.go
@@ -32,6 +32,9 @@
 	Retries struct {
 		Limit float64
 	}
+	Admission struct {
+		Feedback bool
+	}
 	Log struct {
 		Level string
 	}
@@ -71,6 +74,8 @@
 
 		fraction("retries", "limit", &a.Retries.Limit, "0.2", "Retries that may arrive at a service, as a fraction of the requests for it, over all levels of a call chain. Greater: more failed calls are recovered; smaller: less load is added while upstreams fail."),
 
+		boolean("admission", "feedback", &a.Admission.Feedback, "false", "Refuse callers' requests at this daemon while queues refuse more than a twentieth of the call trees of its earlier requests. true: less work is wasted while a burst rises faster than the shedding plan follows; false: only the plan refuses requests. Set it to the same value on all daemons: it also lets answers carry the refusals."),
+
 		choice("log", "level", &a.Log.Level, "info", logging.Levels, "Lowest level that is logged."),
 	}}
 }
--- a/internal/request/shedding/allocate.go
+++ b/internal/request/shedding/allocate.go
@@ -1,6 +1,9 @@
 package shedding
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // adjustCorrections lowers the correction factor, and thereby the planned capacity, of
 // services whose queueing time exceeds Options.WaitTarget, and raises that of the others.
@@ -42,23 +45,13 @@
 	if total <= budget {
 		return nil, total
 	}
-	byImportance := make([]uint8, 0, len(demand))
-	for importance := range demand {
-		byImportance = append(byImportance, importance)
-	}
-	slices.Sort(byImportance)
-	maxFloor := maxFloorShare * budget / total
-	granted := grant(byImportance, demand, budget, 0)
-	for range floorIterations {
-		requested, served := 0.0, 0.0
-		for c, rate := range arrivals {
-			if costs[c.route][service] > 0 {
-				requested += rate
-				served += rate * granted[c.importance]
-			}
+	rates := map[uint8]float64{}
+	for c, rate := range arrivals {
+		if costs[c.route][service] > 0 {
+			rates[c.importance] += rate
 		}
-		granted = grant(byImportance, demand, budget, min(p.options.Floor*served/requested, maxFloor))
 	}
+	granted := Divide(budget, demand, rates, p.options.Floor)
 	shares = map[class]float64{}
 	for c := range arrivals {
 		if share := granted[c.importance]; share < 1 && costs[c.route][service] > 0 {
@@ -68,6 +61,29 @@
 	return shares, total
 }
 
+// Divide divides a budget between importances and returns the share of each importance's
+// demand that fits. Each importance first gets the floor, relative to the share of all
+// requests that is served, and the rest goes to the most important ones. demand and rates
+// hold the load and the rate of requests of each importance.
+func Divide(budget float64, demand, rates map[uint8]float64, floor float64) map[uint8]float64 {
+	total, requested := 0.0, 0.0
+	byImportance := slices.Sorted(maps.Keys(demand))
+	for _, importance := range byImportance {
+		total += demand[importance]
+		requested += rates[importance]
+	}
+	maxFloor := maxFloorShare * budget / total
+	granted := grant(byImportance, demand, budget, 0)
+	for range floorIterations {
+		served := 0.0
+		for _, importance := range byImportance {
+			served += rates[importance] * granted[importance]
+		}
+		granted = grant(byImportance, demand, budget, min(floor*served/requested, maxFloor))
+	}
+	return granted
+}
+
 // grant divides a budget between importances: each gets the floor share of its
 // demand, and the remainder goes to the most important ones first. It returns the
 // granted share of each importance's demand.
--- a/internal/request/shedding/shedding.go
+++ b/internal/request/shedding/shedding.go
@@ -27,7 +27,10 @@
 // The types are pure state machines and not safe for concurrent use.
 package shedding
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Calls is the mean number of calls that a run of a route makes to another route.
 type Calls struct {
@@ -99,6 +102,9 @@
 	// minVisits is the number of visits per request below which a branch of a call
 	// tree is not expanded.
 	minVisits = 0.01
+	// minRuns is the number of runs per request at a service from which on the request
+	// counts as needing the service.
+	minRuns = 0.1
 	// Bounds of the correction factor of a service's capacity, and its change per
 	// plan. The step down is small: requests admitted before a reduction keep
 	// arriving for about a second, so that a queue alone does not call for a deep
@@ -163,6 +169,8 @@
 	// number of services on the longest call path.
 	callsOthers map[string]bool
 	depth       int
+	// services holds the services that a request of each route needs, in order of name.
+	services map[string][]string
 	// direct holds the rate of callers' requests for each service, runs the rate of all
 	// its runs, both per second.
 	direct, runs map[string]float64
@@ -202,6 +210,10 @@
 // known.
 func (p *Plan) Depth() int { return p.depth }
 
+// Services returns the services that a request of a route needs, directly or through the
+// calls it causes, as far as they are known. The caller must not change the result.
+func (p *Plan) Services(route string) []string { return p.services[route] }
+
 // RequestRates returns, per second, the rate of callers' requests for a service, admitted
 // or not, and the rate of its other runs, which serve calls of other services.
 func (p *Plan) RequestRates(service string) (direct, internal float64) {
@@ -266,7 +278,7 @@
 	}
 	costs := map[string]map[string]float64{} // by route, then by service
 	p.infeasible = map[string]string{}
-	p.callsOthers, p.depth = map[string]bool{}, 0
+	p.callsOthers, p.depth, p.services = map[string]bool{}, 0, map[string][]string{}
 	p.direct, p.runs = map[string]float64{}, map[string]float64{}
 	for name, service := range services {
 		for _, run := range service.runs {
@@ -279,7 +291,9 @@
 		}
 		if costs[c.route] == nil {
 			costs[c.route] = map[string]float64{}
-			t := p.expand(services, trafficSplit, c.route, 1, 0, costs[c.route])
+			runs := map[string]float64{}
+			t := p.expand(services, trafficSplit, c.route, 1, 0, costs[c.route], runs)
+			p.services[c.route] = needed(runs)
 			p.depth = max(p.depth, t.depth)
 			if t.successProbability < minSuccessProbability {
 				p.infeasible[c.route] = t.worstService
@@ -317,6 +331,18 @@
 	p.shares, p.bottleneckOf = shares, bottleneckOf
 }
 
+// needed returns the services with at least minRuns runs per request, in order of name.
+func needed(runs map[string]float64) []string {
+	services := make([]string, 0, len(runs))
+	for service, n := range runs {
+		if n >= minRuns {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 // summarize aggregates the reports by service.
 func summarize(reports []Report) map[string]*serviceState {
 	services := map[string]*serviceState{}
--- a/internal/request/shedding/tree.go
+++ b/internal/request/shedding/tree.go
@@ -15,9 +15,9 @@
 }
 
 // expand walks the call tree of a route that is visited the given number of times
-// per request, adds to costs the slot-seconds that the tree takes at each service,
-// and marks in callsOthers the services that call others.
-func (p *Plan) expand(services map[string]*serviceState, trafficSplit TrafficSplit, route string, visits float64, depth int, costs map[string]float64) treeEstimate {
+// per request, adds to costs the slot-seconds that the tree takes at each service and to
+// runs the number of its runs there, and marks in callsOthers the services that call others.
+func (p *Plan) expand(services map[string]*serviceState, trafficSplit TrafficSplit, route string, visits float64, depth int, costs, runs map[string]float64) treeEstimate {
 	t := treeEstimate{depth: depth, successProbability: 1}
 	if depth > maxDepth || visits < minVisits {
 		return t
@@ -36,12 +36,13 @@
 		}
 		visitsHere := visits * share.Fraction
 		costs[share.Service] += visitsHere * run.serviceTime
+		runs[share.Service] += visitsHere
 		t.depth = max(t.depth, depth+1)
 		t.updateWorst(share.Service, service.failureRate())
 		branchSuccess := 1 - failureRateAfterRetries(service.failureRate())
 		for called, perRun := range run.calls {
 			p.callsOthers[share.Service] = true
-			subtree := p.expand(services, trafficSplit, called, visitsHere*perRun, depth+1, costs)
+			subtree := p.expand(services, trafficSplit, called, visitsHere*perRun, depth+1, costs, runs)
 			t.depth = max(t.depth, subtree.depth)
 			t.updateWorst(subtree.worstService, subtree.worstFailureRate)
 			branchSuccess *= math.Pow(subtree.successProbability, perRun)
