--- a/internal/request/throttle/service.go
+++ b/internal/request/throttle/service.go
@@ -35,6 +35,10 @@
 	// arrivals. The fast count follows a burst, but tells the rate only where there are many.
 	fastRate = 2.5
 	slowRate = 1.0
+	// mixRate is the rate at which the arrivals by importance decay. They tell which
+	// importances are the least important ones that arrive, of which a daemon with 5
+	// requests a second sees few in a second.
+	mixRate = 0.25
 	// trustedCount is the number of fast arrivals that get as much weight as the slow ones.
 	trustedCount = 5.0
 	// minCount is the smoothed count below which an importance is dropped.
@@ -54,10 +58,9 @@
 	refusedAt time.Time
 	// routes holds when a tree of each route was last refused a call.
 	routes map[string]time.Time
-	// fast is the smoothed count of arrivals that decays at fastRate, slow those that decay
-	// at slowRate, by importance.
-	fast float64
-	slow map[uint8]float64
+	// fast and slow are the smoothed counts of arrivals, mix that of each importance.
+	fast, slow float64
+	mix        map[uint8]float64
 	// share is the admitted share of all requests, shares that of each importance.
 	share  float64
 	shares map[uint8]float64
@@ -66,14 +69,15 @@
 }
 
 func newService(now time.Time) *service {
-	return &service{stepAt: now, usedAt: now, routes: make(map[string]time.Time), slow: make(map[uint8]float64), share: 1}
+	return &service{stepAt: now, usedAt: now, routes: make(map[string]time.Time), mix: make(map[uint8]float64), share: 1}
 }
 
 func (s *service) newest() *bucket { return &s.buckets[s.current] }
 
 func (s *service) arrive(importance uint8) {
 	s.fast++
-	s.slow[importance]++
+	s.slow++
+	s.mix[importance]++
 }
 
 // learned reports whether trees of a route are known to need the service since it refused a
@@ -87,8 +91,8 @@
 // are empty and everything is admitted.
 func (s *service) advance(now time.Time, floor float64) {
 	if now.Sub(s.stepAt) > 2*window {
-		s.buckets, s.fast = [windowSteps]bucket{}, 0
-		clear(s.slow)
+		s.buckets, s.fast, s.slow = [windowSteps]bucket{}, 0, 0
+		clear(s.mix)
 		s.admitAll()
 		s.stepAt = now
 		return
@@ -100,7 +104,7 @@
 		s.current = (s.current + 1) % windowSteps
 		s.buckets[s.current] = bucket{}
 		if s.share < 1 {
-			s.shares = shedding.Divide(s.share*s.slowSum(), s.slow, s.slow, floor)
+			s.shares = shedding.Divide(s.share*s.mixSum(), s.mix, s.mix, floor)
 		}
 	}
 }
@@ -108,10 +112,11 @@
 // decay ages the smoothed counts by one step.
 func (s *service) decay() {
 	s.fast *= 1 - fastRate*step.Seconds()
-	for importance := range s.slow {
-		s.slow[importance] *= 1 - slowRate*step.Seconds()
+	s.slow *= 1 - slowRate*step.Seconds()
+	for importance := range s.mix {
+		s.mix[importance] *= 1 - mixRate*step.Seconds()
 	}
-	maps.DeleteFunc(s.slow, func(_ uint8, count float64) bool { return count < minCount })
+	maps.DeleteFunc(s.mix, func(_ uint8, count float64) bool { return count < minCount })
 }
 
 // adjust sets the share at the end of a step.
@@ -153,10 +158,10 @@
 	return needed, refused
 }
 
-func (s *service) slowSum() float64 {
+func (s *service) mixSum() float64 {
 	sum := 0.0
-	for _, importance := range slices.Sorted(maps.Keys(s.slow)) { // sorted, so that equal inputs give equal sums
-		sum += s.slow[importance]
+	for _, importance := range slices.Sorted(maps.Keys(s.mix)) { // sorted, so that equal inputs give equal sums
+		sum += s.mix[importance]
 	}
 	return sum
 }
@@ -165,7 +170,7 @@
 // the fast count, the more weight that has.
 func (s *service) arrivalRate() float64 {
 	weight := s.fast / (s.fast + trustedCount)
-	return max(1, weight*s.fast*fastRate+(1-weight)*s.slowSum()*slowRate)
+	return max(1, weight*s.fast*fastRate+(1-weight)*s.slow*slowRate)
 }
 
 // shareOf returns the admitted share of an importance. One without arrivals before this step
