--- a/internal/process/agent/evacuation_test.go
+++ b/internal/process/agent/evacuation_test.go
@@ -139,7 +139,7 @@
 		f.members[status.Member].self = true // run by the local executor
 	}
 	c := &call{service: "stock", attempts: 1, deadline: time.Now().Add(time.Second)}
-	_, refusal := newDispatcher(f, e, 0, m, log).dispatch(t.Context(), c)
+	_, refusal, _ := newDispatcher(f, e, 0, m, log).dispatch(t.Context(), c)
 	g.Expect(c.tried).To(HaveLen(servers))
 	g.Expect(refusal.Kind).To(Equal(problem.KindEvacuated))
 	g.Expect(refusal.Executed).To(Equal(problem.ExecutedNo))
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -42,6 +42,8 @@
 	returned        metric.Int64Counter
 	restartSigns    metric.Int64Counter
 	healthQueries   metric.Int64Counter
+	throttled       metric.Int64Counter
+	refusedTrees    metric.Int64Counter
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -170,6 +172,14 @@
 		metric.WithDescription("Queries of the backend server's health path, by result: reported or failed.")); err != nil {
 		return err
 	}
+	if m.throttled, err = m.meter.Int64Counter("tarragon_throttled",
+		metric.WithDescription("Callers' requests that the shedding plan admitted and the throttle refused, by the pool that has refused calls.")); err != nil {
+		return err
+	}
+	if m.refusedTrees, err = m.meter.Int64Counter("tarragon_refused_trees",
+		metric.WithDescription("Callers' requests, admitted at this daemon, of which a queue finally refused a call for lack of room, by pool.")); err != nil {
+		return err
+	}
 	m.linkEvents, err = m.meter.Int64Counter("tarragon_peer_links",
 		metric.WithDescription("Peer links that came up or went down, by event."))
 	return err
@@ -239,6 +249,22 @@
 	m.returned.Add(context.Background(), 1, m.withLabels("pool", pool))
 }
 
+// RecordThrottled records a request that was refused since a pool refuses calls.
+func (m *Metrics) RecordThrottled(pool string) {
+	if m == nil {
+		return
+	}
+	m.throttled.Add(context.Background(), 1, m.withLabels("pool", pool))
+}
+
+// RecordRefusedTree records a request of which a queue of a pool refused a call.
+func (m *Metrics) RecordRefusedTree(pool string) {
+	if m == nil {
+		return
+	}
+	m.refusedTrees.Add(context.Background(), 1, m.withLabels("pool", pool))
+}
+
 // RecordQueueDelay records how long an attempt waited in the queue for the backend
 // server.
 func (m *Metrics) RecordQueueDelay(pool string, delay time.Duration) {
--- a/internal/process/settings/agent.go
+++ b/internal/process/settings/agent.go
@@ -36,6 +36,9 @@
 		Overage float64
 		Slack   float64
 	}
+	Admission struct {
+		Feedback bool
+	}
 	Log struct {
 		Level string
 	}
@@ -77,6 +80,7 @@
 
 		number("warmup", "overage", &a.WarmUp.Overage, "1", 0, 100, "Factor by which the requests that reach a cold backend server in any second may exceed its rate in the tables. Greater: starts that were late are made up for; smaller: a server that fails just above its rate is safe."),
 		number("warmup", "slack", &a.WarmUp.Slack, "0", 0, 100000, "Number of requests by which that count may exceed the rate in addition to overage. Greater: a cold server gets requests sooner after a restart under load."),
+		boolean("admission", "feedback", &a.Admission.Feedback, "false", "Refuse callers' requests at this daemon while queues refuse more than a twentieth of the call trees of its earlier requests. true: less work is wasted while a burst rises faster than the shedding plan follows; false: only the plan refuses requests. Set it to the same value on all daemons: it also lets answers carry the refusals."),
 
 		choice("log", "level", &a.Log.Level, "info", logging.Levels, "Lowest level that is logged."),
 	}}
