tarragonctl: check of a configuration before it is published

Cause: faults of a published configuration, such as a service that is not listed or a key that two workspaces have, show only after daemons use it, and a document that does not decode is ignored with a log line.

Change: tarragonctl check FILE [--against FILE|live] [--store ADDRESS] [--json]. Package internal/version/check is pure and finds errors, routes that never match, contradicting limits, and differences between two versions. platform/check.go decodes with the decoder of the daemons, which is split for this without a change of its results, and maps findings to paths of the document. Package operator knows the adapter as an interface that cmd/tarragonctl connects. Keys are counted and named by their place only.

Ruled out: rejecting unknown fields, since documents of a newer release have them; the decoder's messages for malformed JSON, which quote the document.

--- a/internal/process/operator/commands.go
+++ b/internal/process/operator/commands.go
@@ -70,7 +70,7 @@
 	flags.DurationVar(&a.timeout, "timeout", 30*time.Second, "longest time for reading and publishing")
 	_ = root.MarkPersistentFlagFilename("config", "ini")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"text", "json"}, cobra.ShellCompDirectiveNoFileComp))
-	root.AddCommand(a.validateCommand(), a.publishCommand(), a.showCommand(), a.diffCommand(), a.keyCommand(), a.drainCommand(), a.statusCommand(), a.versionCommand(), a.explainCommand())
+	root.AddCommand(a.validateCommand(), a.publishCommand(), a.showCommand(), a.diffCommand(), a.keyCommand(), a.drainCommand(), a.statusCommand(), a.versionCommand(), a.explainCommand(), a.checkCommand())
 	return root
 }
 
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -43,7 +43,10 @@
 	// DecodeMember decodes a record of the "members" stream. If it is nil, the
 	// admin ports must be given as flags or settings.
 	DecodeMember func(record []byte) (Member, bool)
-	Now          func() time.Time
+	// Configurations checks configurations of a shared platform. If it is nil, the command
+	// check is not available.
+	Configurations ConfigurationChecker
+	Now            func() time.Time
 	// Sleep waits, or returns early if the context ends.
 	Sleep  func(ctx context.Context, d time.Duration)
 	Random io.Reader
