placement: attempts leave a zone whose servers are much slower

Change: an attempt leaves for an upstream with room that saves a fifth of what is left of its objective, and a server four times slower than the fastest no longer keeps attempts because it has free slots.

--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -129,7 +129,7 @@
 			if result.answer.Load != nil { // the attempt was sent
 				bytes := messageBytes(c, result.answer)
 				d.metrics.RecordZoneAttempt(c.service, member.zone == d.fleet.zone, bytes)
-				d.fleet.attemptMeasured(time.Now(), c, member.zone, pathTime, bytes, result.answer)
+				d.fleet.attemptMeasured(time.Now(), c, id, member.zone, pathTime, bytes, result.answer)
 			}
 		}
 		c.tried = append(c.tried, id)
--- a/internal/process/agent/zones.go
+++ b/internal/process/agent/zones.go
@@ -117,13 +117,14 @@
 	}
 	if mix := z.mixes[c.service]; mix != nil {
 		r.Leaving, r.HasLeaving = mix.Leaving(c.route)
+		r.ServiceTime = mix.ServiceTime(c.route)
 	}
 	return r
 }
 
 // attemptMeasured records the path time, the service time and the bytes of an attempt that
 // an executing daemon has answered.
-func (f *fleet) attemptMeasured(now time.Time, c *call, zone string, path time.Duration, bytes int, answer *wire.Answer) {
+func (f *fleet) attemptMeasured(now time.Time, c *call, server, zone string, path time.Duration, bytes int, answer *wire.Answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.zones.plan.Has(c.service) {
@@ -138,7 +139,11 @@
 		mix = &zonespill.Mix{}
 		f.zones.mixes[c.service] = mix
 	}
-	mix.Record(c.route, time.Duration(max(minServiceMS, float64(answer.ServiceMS))*float64(time.Millisecond)), bytes)
+	relative := 1.0
+	if table := f.placements[c.service]; table != nil {
+		relative = table.RelativeTime(server)
+	}
+	mix.Record(c.route, time.Duration(max(minServiceMS, float64(answer.ServiceMS))*float64(time.Millisecond)), relative, bytes)
 }
 
 // observeZoneShares passes the shares of all services to a gauge.
--- a/internal/process/agent/zones_test.go
+++ b/internal/process/agent/zones_test.go
@@ -85,6 +85,6 @@
 	f.applyStatus(now, storeStatus("a", 1, 1))
 	f.replan(now, storeCatalog(g))
 	g.Expect(f.zones.sharesOf("store")).To(BeEmpty())
-	f.attemptMeasured(now, &call{service: "store"}, "a", time.Second, 1, &wire.Answer{Response: &wire.Response{}})
+	f.attemptMeasured(now, &call{service: "store"}, "s", "a", time.Second, 1, &wire.Answer{Response: &wire.Response{}})
 	g.Expect(f.zones.mixes).To(BeEmpty())
 }
--- a/internal/request/placement/zones.go
+++ b/internal/request/placement/zones.go
@@ -22,6 +22,10 @@
 	// attempts beyond the shares. The other daemons see the same room at the same time, so
 	// that the last slots are left to the zone itself.
 	roomShare = 0.9
+	// fasterShare is the share of what is left of the latency objective that an attempt must
+	// be expected to save in another zone to go there beyond the shares. Bytes between zones
+	// are charged for, so that a small gain does not pay.
+	fasterShare = 0.2
 	// assumedObjective is the latency objective assumed for routes without one.
 	assumedObjective = 250 * time.Millisecond
 )
@@ -38,6 +42,9 @@
 	Exclude []string // upstreams that are not chosen, since they had an attempt of the same call
 	// Objective is what is left of the latency objective; 0: there is none.
 	Objective time.Duration
+	// ServiceTime is the mean service time of the request's route at an upstream of mean
+	// speed; 0: not known.
+	ServiceTime time.Duration
 	// SlowZones are the zones whose network path is too slow for the request.
 	SlowZones []string
 	// Leaving replaces the share of attempts that leaves the zone, if HasLeaving is set.
@@ -70,12 +77,12 @@
 		}
 	}
 	best := t.cheaperOfTwo(now, rng, in)
-	if best.failureRatio(now) <= compareAllAbove && !t.waits(best) {
-		return best
+	if best.failureRatio(now) <= compareAllAbove && !t.waits(best) && !t.slow(best) {
+		return t.orFaster(now, rng, r, best)
 	}
 	healthy := func(s *upstreamState) bool { return in(s) && s.failureRatio(now) <= compareAllAbove }
 	if free := t.cheapestOf(now, func(s *upstreamState) bool { return healthy(s) && !t.waits(s) && !t.slow(s) }); free != nil {
-		return free
+		return t.orFaster(now, rng, r, free)
 	}
 	if full := t.cheapestOf(now, healthy); full != nil {
 		return t.pickBeyondShares(now, rng, r, full)
@@ -88,9 +95,7 @@
 // there has room or a much shorter wait. If its path is too slow, it gets the attempt only if
 // the wait in the chosen zone exceeds the objective.
 func (t *Table) pickBeyondShares(now time.Time, rng *rand.Rand, r *Request, full *upstreamState) *upstreamState {
-	elsewhere := func(s *upstreamState) bool {
-		return s.Zone != full.Zone && !slices.Contains(r.SlowZones, s.Zone) && s.eligible(now, nil, false) && s.failureRatio(now) <= compareAllAbove
-	}
+	elsewhere := t.elsewhere(now, r, full.Zone)
 	other := t.cheaperOfTwo(now, rng, func(s *upstreamState) bool { return elsewhere(s) && t.hasRoom(s) })
 	if other != nil {
 		return other
@@ -110,6 +115,51 @@
 	return t.cheapestOf(now, func(s *upstreamState) bool { return s.eligible(now, nil, false) })
 }
 
+// elsewhere returns the condition for healthy candidates in other zones whose path is not
+// too slow.
+func (t *Table) elsewhere(now time.Time, r *Request, zone string) func(*upstreamState) bool {
+	return func(s *upstreamState) bool {
+		return s.Zone != zone && !slices.Contains(r.SlowZones, s.Zone) && s.eligible(now, nil, false) && s.failureRatio(now) <= compareAllAbove
+	}
+}
+
+// orFaster returns best, or an upstream of another zone that has room and is expected to
+// finish the request earlier by a fifth of what is left of its objective. Otherwise the
+// callers of a zone whose servers are slow would miss their objectives although others have room.
+func (t *Table) orFaster(now time.Time, rng *rand.Rand, r *Request, best *upstreamState) *upstreamState {
+	least := fasterShare * r.Objective.Seconds()
+	if r.ServiceTime <= 0 || r.Objective <= 0 || r.ServiceTime.Seconds()*t.relativeTime(best)+t.waitOf(best) < least {
+		return best
+	}
+	elsewhere := t.elsewhere(now, r, best.Zone)
+	other := t.cheaperOfTwo(now, rng, func(s *upstreamState) bool { return elsewhere(s) && t.hasRoom(s) })
+	if other == nil {
+		return best
+	}
+	saved := r.ServiceTime.Seconds()*(t.relativeTime(best)-t.relativeTime(other)) + t.waitOf(best) - t.waitOf(other)
+	if saved >= least {
+		return other
+	}
+	return best
+}
+
+// relativeTime returns the service time of an upstream as a multiple of the mean of all.
+func (t *Table) relativeTime(s *upstreamState) float64 {
+	sum := 0.0
+	for _, other := range t.upstreams {
+		sum += t.serviceSeconds(other)
+	}
+	return t.serviceSeconds(s) / sum * float64(len(t.upstreams))
+}
+
+// RelativeTime is relativeTime for the upstream with an id, 1 if it is not known.
+func (t *Table) RelativeTime(id string) float64 {
+	if s := t.find(id); s != nil {
+		return t.relativeTime(s)
+	}
+	return 1
+}
+
 // slow reports whether an upstream takes much longer for a request than another one.
 func (t *Table) slow(s *upstreamState) bool {
 	shortest := t.serviceSeconds(s)
--- a/internal/request/placement/zones_test.go
+++ b/internal/request/placement/zones_test.go
@@ -73,3 +73,32 @@
 	retry := sharedTable(1, zoneUpstream("a1", "a", 5, 0), zoneUpstream("b1", "b", 5, 0))
 	g.Expect(zonePicks(retry, Request{Exclude: []string{"a1"}}, 10)["b"]).To(Equal(10), "retry")
 }
+
+// Guards against a zone whose only server is slow, so that its callers miss their objectives
+// while a faster server of another zone has room, and against leaving for a small gain.
+func TestAttemptsLeaveForAMuchFasterServer(t *testing.T) {
+	table := func(own, other time.Duration, running int) *Table {
+		slow, fast := zoneUpstream("a1", "a", 5, 0), zoneUpstream("b1", "b", running, 0)
+		slow.Load.ServiceTime, fast.Load.ServiceTime = own, other
+		return sharedTable(1, slow, fast)
+	}
+	for name, c := range map[string]struct {
+		table   *Table
+		service time.Duration // at a server of mean speed
+		leaves  bool
+	}{
+		"long requests":                        {table(60*time.Millisecond, 25*time.Millisecond, 5), 400 * time.Millisecond, true},
+		"short requests":                       {table(60*time.Millisecond, 25*time.Millisecond, 5), 40 * time.Millisecond, false},
+		"nearly the same speed":                {table(30*time.Millisecond, 25*time.Millisecond, 5), 400 * time.Millisecond, false},
+		"the faster server has no room":        {table(60*time.Millisecond, 25*time.Millisecond, 30), 400 * time.Millisecond, false},
+		"the own server is 12 times slower":    {table(300*time.Millisecond, 25*time.Millisecond, 5), 40 * time.Millisecond, true},
+		"nothing is known of the route's time": {table(60*time.Millisecond, 25*time.Millisecond, 5), 0, false},
+	} {
+		count := zonePicks(c.table, Request{Objective: time.Second, ServiceTime: c.service}, 1000)
+		if c.leaves { // a twentieth of the choices explores the own zone
+			NewWithT(t).Expect(count["b"]).To(BeNumerically(">", 900), name)
+		} else {
+			NewWithT(t).Expect(count["b"]).To(BeZero(), name)
+		}
+	}
+}
--- a/internal/request/zonespill/mix.go
+++ b/internal/request/zonespill/mix.go
@@ -10,8 +10,9 @@
 // four updates a second a route's weight halves in about 1.7 s.
 const mixDecay = 0.9
 
-// use is what the attempts of a route took: slot time, and bytes on the peer link.
-type use struct{ seconds, bytes float64 }
+// use is what the attempts of a route took: slot time, and bytes on the peer link. normal is
+// the slot time as it would have been at a server of mean speed.
+type use struct{ attempts, seconds, normal, bytes float64 }
 
 // Mix holds what the routes of one service use of its slots and of the peer links, as one
 // daemon measures it. If a part of the attempts has to leave the zone, the routes with the
@@ -22,8 +23,9 @@
 	leaving map[string]float64 // by route
 }
 
-// Record adds one attempt.
-func (m *Mix) Record(route string, service time.Duration, bytes int) {
+// Record adds one attempt. relative is the service time of its server as a multiple of the
+// mean of all servers.
+func (m *Mix) Record(route string, service time.Duration, relative float64, bytes int) {
 	if m.routes == nil {
 		m.routes = map[string]*use{}
 	}
@@ -32,17 +34,31 @@
 		u = &use{}
 		m.routes[route] = u
 	}
+	u.attempts++
 	u.seconds += service.Seconds()
+	u.normal += service.Seconds() / relative
 	u.bytes += float64(bytes)
 }
 
+// ServiceTime returns the mean service time of a route's attempts at a server of mean speed,
+// 0 if it is not known.
+func (m *Mix) ServiceTime(route string) time.Duration {
+	u := m.routes[route]
+	if u == nil {
+		return 0
+	}
+	return time.Duration(u.normal / u.attempts * float64(time.Second))
+}
+
 // Apportion computes the share of each route's attempts that leaves, so that the given
 // share of the slot time leaves.
 func (m *Mix) Apportion(leaving float64) {
 	total := 0.0
 	routes := make([]string, 0, len(m.routes))
 	for route, u := range m.routes {
+		u.attempts *= mixDecay
 		u.seconds *= mixDecay
+		u.normal *= mixDecay
 		u.bytes *= mixDecay
 		if u.seconds < 1e-6 {
 			delete(m.routes, route)
--- a/internal/request/zonespill/zonespill_test.go
+++ b/internal/request/zonespill/zonespill_test.go
@@ -144,8 +144,8 @@
 	g := NewWithT(t)
 	m := &Mix{}
 	for range 100 {
-		m.Record("read", took, 500)
-		m.Record("upload", took, 1<<20)
+		m.Record("read", took, 1, 500)
+		m.Record("upload", took, 2, 1<<20)
 	}
 	m.Apportion(0.75)
 	read, _ := m.Leaving("read")
