backend: malformed responses are failures at once

Cause, each shown by a test that fails before the change: - A reset is reported to one system call only. While a request body is still written, that is often the write; the read then gets an end without error, and a response without a length counted as complete (59 of 60 uploads of 1.5 MB that were reset after a part of the body). - Statuses 600 and 999 were returned. 000 and 099 counted as informational, so that the exchange waited for another response: until the server closed the connection (the caller got 502) or until the deadline (504). A status with one digit failed at once (502).

Change: a response whose body ends with the connection counts only if the whole request was written; a status outside 100 to 599 is an error at once, also in an answer of a daemon of an earlier release; a call of which an attempt may have run is refused with that attempt's failure.

Measured: none of 60 reset uploads is returned, all of 60 that end with a close after the whole request are; TestMalformedResponsesAreNotDelivered with real daemons: statuses 500, 502 and 503 only, none slower than 1.5 s (route timeout 2 s). go test -race of backend, agent, platform: passed.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -65,6 +65,8 @@
 	// together: each may be within the limit for one body, and all of them too much for
 	// the memory of the host.
 	maxBufferedBytes = 32 << 20
+	// maxStatus is the greatest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// bodyReadBytes is the most that an exchange reads of a body at a time.
 	bodyReadBytes = 64 << 10
 )
@@ -79,6 +81,11 @@
 	// ErrContentEncoded means that the response has a Content-Encoding. Since the
 	// request asked for none, the response counts as corrupted in transit.
 	ErrContentEncoded = errors.New("the response has a Content-Encoding that was not asked for")
+	// ErrStatus means that the status of the response is outside 100 to 599.
+	ErrStatus = errors.New("the status of the response is outside 100 to 599")
+	// ErrCutOff means that the connection ended while the request was written, so that a
+	// response without a length cannot be known to be complete.
+	ErrCutOff = errors.New("the connection ended before the whole request was written, and the response has no length")
 	// ErrHeadTooLarge means that the server sent maxHeadBytes without a complete head.
 	ErrHeadTooLarge = errors.New("the head of the response is larger than 64 KiB")
 	// ErrBuffersFull means that the responses in progress hold maxBufferedBytes.
@@ -111,6 +118,8 @@
 	Header http.Header
 	Body   []byte
 	Use    ConnectionUse
+	// endsWithConnection means that nothing but the end of the connection ended the body.
+	endsWithConnection bool
 }
 
 // Exchanger is an HTTP/1.1 client with a connection pool for one backend server that
@@ -348,7 +357,13 @@
 		if skipped {
 			continue
 		}
-		return response, reusable && requestWritten(written), nil
+		whole := (reusable || response.endsWithConnection) && requestWritten(written)
+		// The system reports a reset to one call only. If that is the write, the read gets
+		// an end without error.
+		if response.endsWithConnection && !whole {
+			return nil, false, ErrCutOff
+		}
+		return response, reusable && whole, nil
 	}
 	return nil, false, ErrUnrelatedResponse
 }
@@ -437,6 +452,9 @@
 	if joinedHead(response) {
 		return nil, false, false, ErrJoined
 	}
+	if response.StatusCode < 100 || response.StatusCode > maxStatus {
+		return nil, false, false, ErrStatus
+	}
 	// response.Body is not closed: Close would read a body without end. The connection is
 	// closed instead if the body was not read to its end.
 	if response.StatusCode < http.StatusOK {
@@ -457,7 +475,7 @@
 	}
 	c.reuseUntil = time.Now().Add(keepAliveTime(response.Header))
 	reusable = !response.Close && c.reader.Buffered() == 0
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, false, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, endsWithConnection: endsWithConnection(response)}, reusable, false, nil
 }
 
 // skipBody reads the body of a response to another request. The error wraps
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -26,6 +26,8 @@
 	answerGrace = 120 * time.Millisecond
 	// minRetryTime is the least time before the deadline at which a call is retried.
 	minRetryTime = 50 * time.Millisecond
+	// maxStatus is the greatest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 )
 
 // call is a request to be run by one of a service's upstreams.
@@ -165,9 +167,10 @@
 
 // callOutcome accumulates the results of a call's attempts.
 type callOutcome struct {
-	response   *wire.Response   // the latest response of a backend server
-	refusal    *problem.Problem // of the latest attempt, nil if that got a response
-	mayHaveRun bool             // an attempt ran or may have run
+	response *wire.Response   // the latest response of a backend server
+	refusal  *problem.Problem // of the latest attempt, nil if that got a response
+	// failure is the refusal of the latest attempt that may have run.
+	failure *problem.Problem
 }
 
 // add records the result of an attempt.
@@ -176,24 +179,24 @@
 		o.response = result.response
 	}
 	o.refusal = result.refusal
-	if result.refusal == nil || result.refusal.Executed != problem.ExecutedNo {
-		o.mayHaveRun = true
+	if result.refusal != nil && result.refusal.Executed != problem.ExecutedNo {
+		o.failure = result.refusal
 	}
 }
 
 // finalAnswer returns what the caller gets: the response of a backend server if
 // there is one, and otherwise a refusal, which says "not executed" only if no attempt
-// can have run. detail is used if no attempt was sent.
+// can have run. If one may have, its failure is what the caller gets: a later refusal by a
+// queue, such as "not enough time", says nothing about it. detail is used if no attempt was
+// sent.
 func (o *callOutcome) finalAnswer(detail string) (*wire.Response, *problem.Problem) {
 	switch {
 	case o.response != nil:
 		return o.response, nil
 	case o.refusal == nil:
 		return nil, problem.New(problem.KindNoUpstream, detail).WithRetryAfter(briefRetryAfter)
-	case o.mayHaveRun:
-		refusal := *o.refusal
-		refusal.Executed = problem.ExecutedUnknown
-		return nil, &refusal
+	case o.failure != nil:
+		return nil, o.failure
 	}
 	return nil, o.refusal
 }
@@ -344,6 +347,11 @@
 		return // the attempt was abandoned
 	}
 	result := attemptResult{response: answer.Response, answer: answer}
+	if r := answer.Response; r != nil && (r.Status < http.StatusOK || r.Status > maxStatus) {
+		// Earlier releases deliver such responses of their backend servers.
+		result.response = nil
+		result.refusal = problem.Unknown(problem.KindUpstreamFailed, "the status of the response is outside 200 to 599")
+	}
 	if answer.Response == nil && answer.Refusal == nil {
 		result.refusal = problem.Unknown(problem.KindUpstreamFailed, "the answer has neither a response nor a refusal; run the same release on both hosts")
 	}
