caller: pipelined idempotent requests run ahead of their turn

Cause: net/http's server reads the next request of a connection only after the response, so that four pipelined requests of 36 ms take four times as long (docs/design/overview.md, section 7).

Change: the agent's port for callers wraps its connections. The wrapper passes on one request at a time to net/http, reads what follows with net/http's own read behind a running handler, and starts the handlers of requests that may run ahead; net/http gets their responses in order. Package pipeline decides (limits: 8 requests, 64 KiB of heads, 256 KiB of responses; idempotent by the tables, no body, nothing that may end the connection before it, not stopping) and finds where requests end. A stop, a close and a response with Connection: close leave no request passed on and unanswered. tarragond and the other ports are unchanged. Counter tarragon_pipelined_requests, histogram tarragon_pipeline_depth, log field "ahead" of request lines.

Ruled out (docs/design/pipelining.md): a server of our own, virtual connections, a goroutine for each connection, hijacking; to drop a response that is too large and run the request again.

--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -31,6 +31,8 @@
 	mu          sync.Mutex
 	connections map[net.Conn]connection
 	accepting   bool // true while Serve runs
+
+	pipeliningState
 }
 
 // connection is the state of an open connection and the time of its last change.
@@ -44,6 +46,9 @@
 func (s *Server) Serve(listener net.Listener) error {
 	s.setAccepting(true)
 	defer s.setAccepting(false)
+	if s.pipelining != nil {
+		listener = pipeliningListener{listener, s}
+	}
 	return s.http.Serve(listener)
 }
 
@@ -55,6 +60,9 @@
 
 // track records the states of the connections; it is the ConnState hook.
 func (s *Server) track(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*pipelinedConn); ok && state == http.StateIdle {
+		c.answered = true
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -79,7 +87,7 @@
 }
 
 // Stop accepts the connections that are pending at the listener, closes the listener,
-// responds to all requests with "Connection: close", and closes each connection when
+// writes the responses to the requests that run ahead, responds to all requests with "Connection: close", and closes each connection when
 // it is idle. The error is that of ctx if ctx ended before all requests had a response.
 func (s *Server) Stop(ctx context.Context, listener net.Listener) error {
 	drain, cancel := context.WithTimeout(ctx, drainTimeout)
@@ -89,6 +97,7 @@
 		drainErr = nil // callers keep connecting; closing the listener ends that
 	}
 	closeErr := listener.Close()
+	s.stopAhead(ctx)
 	s.http.SetKeepAlivesEnabled(false)
 	for s.hasPendingRequests(time.Now()) && ctx.Err() == nil {
 		select {
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -11,7 +11,8 @@
 // exchange their status over UDP; attempts travel over peer links.
 //
 // Locking order: Agent.statusMu, then one of executor.mu and fleet.mu, then
-// serverState.mu (only under statusMu or executor.mu). The other locks are taken
+// serverState.mu (only under statusMu or executor.mu). entryHandler.mu may be taken
+// under the lock of a caller's connection (package caller). The other locks are taken
 // alone. No lock is held while sending on a link or
 // calling the store or the backend server.
 package agent
@@ -32,6 +33,7 @@
 	"tarragonshore.example/tarragonshore/internal/connection/caller"
 	"tarragonshore.example/tarragonshore/internal/connection/network"
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
+	"tarragonshore.example/tarragonshore/internal/connection/pipeline"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
@@ -145,7 +147,7 @@
 	a.dispatcher = newDispatcher(a.fleet, a.executor, cfg.RetryLimit, deps.Metrics, log)
 	a.entry = &entryHandler{
 		protocol: deps.Protocol, tables: a.tables, fleet: a.fleet, executor: a.executor, dispatcher: a.dispatcher,
-		server: a.server, service: cfg.Service, metrics: deps.Metrics, log: log, splits: make(map[string]*weightedSplit),
+		server: a.server, service: cfg.Service, metrics: deps.Metrics, log: log, splits: make(map[string]*weightedSplit), sizes: make(pipeline.Sizes),
 	}
 	a.hub = peer.NewHub(peer.Identity{Member: cfg.Member, Incarnation: a.incarnation, Zone: cfg.Zone},
 		peer.Config{PingInterval: linkPingInterval, IdlePingInterval: idleLinkPingInterval, MinCheckInterval: linkCheckInterval,
@@ -232,6 +234,7 @@
 	server := caller.NewServer(handler)
 	a.servers = append(a.servers, server)
 	if name == callerPortName {
+		server.EnablePipelining(a.entry.pipelining())
 		a.callerListener, a.callerServer = listener, server
 	}
 	a.wg.Go(func() { _ = server.Serve(listener) }) // returns when the agent stops
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/caller"
+	"tarragonshore.example/tarragonshore/internal/connection/pipeline"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
@@ -45,6 +46,8 @@
 	tablesAge     time.Duration   // since the store confirmed the tables
 	// ofRun is true if the id names the run in progress that made the request.
 	ofRun bool
+	// ranAhead is true if the request was handled before its turn on its connection.
+	ranAhead bool
 }
 
 func (req *inboundRequest) routeName() string {
@@ -74,6 +77,7 @@
 
 	mu     sync.Mutex
 	splits map[string]*weightedSplit // by route name
+	sizes  pipeline.Sizes
 }
 
 // weightedSplit distributes the requests of a route over its services in proportion
@@ -87,14 +91,15 @@
 func (e *entryHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	req := &inboundRequest{arrived: time.Now(), tablesAge: e.tables.age()}
+	req := &inboundRequest{arrived: time.Now(), tablesAge: e.tables.age(), ranAhead: caller.RunsAhead(w)}
 	response, refusal := e.handle(r, req)
 	if e.stopping.Load() != nil {
-		w.Header().Set("Connection", "close")
+		caller.CloseAfter(w, r)
 	}
 	if r.Context().Err() != nil {
 		refusal, response = problem.Unknown(problem.KindDeadline, "the caller has disconnected"), nil
 	}
+	caller.BeginResponse(w, r)
 	status := 0
 	outcome := "answered"
 	if refusal != nil {
@@ -103,6 +108,7 @@
 		e.protocol.WriteRefusal(w, req.fields.RequestID, refusal)
 	} else {
 		status = response.Status
+		e.recordSize(req.routeName(), len(response.Body))
 		caller.WriteResponse(w, r.Method, response)
 	}
 	elapsed := time.Since(req.arrived)
--- a/internal/process/agent/log.go
+++ b/internal/process/agent/log.go
@@ -60,7 +60,7 @@
 	}
 	logging.InfoEvent("entry", "request", "request", req.fields.RequestID, "route", req.routeName(), "workspace", req.workspace,
 		"importance", int(req.importance), "version", uint64(req.tablesVersion), "version_age_ms", ageMS(req.tablesAge), "status", status,
-		"refusal", kind, "executed", executed, "detail", detail, "took_ms", elapsed.Milliseconds(), "lines_dropped", dropped)
+		"refusal", kind, "executed", executed, "detail", detail, "took_ms", elapsed.Milliseconds(), "ahead", req.ranAhead, "lines_dropped", dropped)
 }
 
 // logAttempt logs the result of an attempt and the decision that followed.
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -15,6 +15,8 @@
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"tarragonshore.example/tarragonshore/internal/connection/pipeline"
 )
 
 // Metrics holds the instruments. A nil *Metrics records nothing.
@@ -34,6 +36,8 @@
 	daemonTime    metric.Float64Histogram
 	skipped       metric.Int64Counter
 	repeatedIDs   metric.Int64Counter
+	pipelined     metric.Int64Counter
+	pipelineDepth metric.Int64Histogram
 
 	mu sync.RWMutex
 	// labelOptions caches the options of label sets, since building an option takes
@@ -129,6 +133,15 @@
 		metric.WithDescription("Responses of the backend server that were not to the request in progress on their connection, by cause.")); err != nil {
 		return err
 	}
+	if m.pipelined, err = m.meter.Int64Counter("tarragon_pipelined_requests",
+		metric.WithDescription("Requests that arrived behind another one on their connection, by decision: run-ahead, or why not yet.")); err != nil {
+		return err
+	}
+	if m.pipelineDepth, err = m.meter.Int64Histogram("tarragon_pipeline_depth",
+		metric.WithDescription("Requests of a connection that run or wait for their turn, when one more runs ahead."),
+		metric.WithExplicitBucketBoundaries(2, 3, 4, 5, 6, 7, 8)); err != nil {
+		return err
+	}
 	if m.repeatedIDs, err = m.meter.Int64Counter("tarragon_backend_repeated_ids",
 		metric.WithDescription("Requests whose id had been sent to the backend server within the last 10 s.")); err != nil {
 		return err
@@ -220,6 +233,18 @@
 	m.repeatedIDs.Add(context.Background(), 1)
 }
 
+// RecordPipelined records a decision whether a pipelined request runs ahead. depth is the
+// number of requests of its connection that run or wait for their turn.
+func (m *Metrics) RecordPipelined(decision string, depth int) {
+	if m == nil {
+		return
+	}
+	m.pipelined.Add(context.Background(), 1, m.withLabels("decision", decision))
+	if decision == string(pipeline.RunAhead) {
+		m.pipelineDepth.Record(context.Background(), int64(depth))
+	}
+}
+
 // RecordConfirmation records a call to the store, or a question to a peer, that was to
 // confirm the tables.
 func (m *Metrics) RecordConfirmation(source string, confirmed bool) {
