--- a/internal/process/agent/log.go
+++ b/internal/process/agent/log.go
@@ -60,7 +60,7 @@
 	}
 	logging.InfoEvent("entry", "request", "request", req.fields.RequestID, "route", req.routeName(), "workspace", req.workspace,
 		"importance", int(req.importance), "objective_ms", leftMS(req.objective, req.arrived), "version", uint64(req.tablesVersion), "version_age_ms", ageMS(req.tablesAge), "status", status,
-		"refusal", kind, "executed", executed, "detail", detail, "took_ms", elapsed.Milliseconds(), "lines_dropped", dropped)
+		"refusal", kind, "executed", executed, "detail", detail, "took_ms", elapsed.Milliseconds(), "ahead", req.ranAhead, "lines_dropped", dropped)
 }
 
 // leftMS returns the time from now until the objective for a log line, below 0 if it has
