--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -226,10 +226,11 @@
 		now := time.Now()
 		idle := now.Sub(c.lastUsed)
 		unprobed := e.Idempotent && idle < maxUnprobedIdle
-		usable := !now.After(c.reuseUntil) && (e.Idempotent || idle <= maxNonIdempotentIdle)
+		usable := !now.After(c.reuseUntil)
 		if usable && !unprobed {
 			var closed bool
 			usable, closed = c.probe()
+			usable = usable && (e.Idempotent || idle <= maxNonIdempotentIdle)
 			if closed && x.ClosedWhileIdle != nil {
 				x.ClosedWhileIdle()
 			}
--- a/internal/connection/backend/exchange_test.go
+++ b/internal/connection/backend/exchange_test.go
@@ -218,7 +218,13 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = listener.Close() }()
-	for want, event := range []func(net.Conn){func(net.Conn) {}, func(server net.Conn) { _ = server.Close() }, func(server net.Conn) { _, _ = io.WriteString(server, "late") }} {
+	// The last case is a request that must not run twice, which uses no connection that was idle for so long.
+	for want, event := range []func(net.Conn){func(net.Conn) {}, func(server net.Conn) { _ = server.Close() }, func(server net.Conn) { _, _ = io.WriteString(server, "late") },
+		func(server net.Conn) { _ = server.Close() }} {
+		idempotent, idle := want < 3, maxUnprobedIdle
+		if !idempotent {
+			idle = maxNonIdempotentIdle
+		}
 		x, closed, address := NewExchanger(bodyLimit), 0, listener.Addr().String()
 		x.ClosedWhileIdle = func() { closed++ }
 		c, err := x.acquire(context.Background(), address, &Exchange{Idempotent: true})
@@ -228,10 +234,10 @@
 		c.reuseUntil = time.Now().Add(time.Minute)
 		x.release(c, address)
 		event(server)
-		time.Sleep(maxUnprobedIdle + 50*time.Millisecond)
-		_, err = x.acquire(context.Background(), address, &Exchange{Idempotent: true})
+		time.Sleep(idle + 50*time.Millisecond)
+		_, err = x.acquire(context.Background(), address, &Exchange{Idempotent: idempotent})
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(closed).To(Equal(want%2), "only the second event closes the connection")
+		g.Expect(closed).To(Equal(want%2), "only the second and the last event close the connection")
 		if want > 0 {
 			_, _ = listener.Accept() // the connection that replaces it
 		}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -87,8 +87,8 @@
 }
 
 // Stop accepts the connections that are pending at the listener, closes the listener,
-// writes the responses to the requests that run ahead, responds to all requests with "Connection: close", and closes each connection when
-// it is idle. The error is that of ctx if ctx ended before all requests had a response.
+// writes the responses to the requests that run ahead, responds to all requests with
+// "Connection: close", and closes each connection when it is idle. The error is that of ctx if ctx ended before all requests had a response.
 func (s *Server) Stop(ctx context.Context, listener net.Listener) error {
 	drain, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -217,6 +217,9 @@
 	// Slowdown is how long work takes at this moment, in percent of the normal time; 0: the
 	// server does not report it. ServiceTime includes it.
 	Slowdown int `cbor:"6,keyasint,omitempty"`
+	// StartRate is the number of requests per second that a cold backend server is limited
+	// to, 0 for no limit. Limit is then at least 1 and may understate it.
+	StartRate float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // AnswerAck confirms that an Answer arrived, so that the executing daemon need not
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -315,9 +315,9 @@
 	return id
 }
 
-// sendAttempt sends one attempt and waits for its result. mayRefuse is false if no further
-// refusal as not executed would be followed by another attempt.
-func (d *dispatcher) sendAttempt(ctx context.Context, c *call, server string, member memberAddress, mayRefuse bool) attemptResult {
+// sendAttempt sends one attempt and waits for its result. anotherFollows is true if a
+// refusal as not executed may be followed by another attempt.
+func (d *dispatcher) sendAttempt(ctx context.Context, c *call, server string, member memberAddress, anotherFollows bool) attemptResult {
 	message := &wire.Attempt{
 		ID: d.newAttemptID(), Route: c.route, Pool: c.service, Server: server,
 		Context: wire.Context{
@@ -330,7 +330,7 @@
 		message.Context.SetObjective(time.Until(c.objective))
 	}
 	// shouldRetry ends a call with less than minRetryTime left.
-	if mayRefuse && time.Until(c.deadline) > 2*minRetryTime {
+	if anotherFollows && time.Until(c.deadline) > 2*minRetryTime {
 		wait, ok := d.fleet.otherUpstreamWait(time.Now(), c.service, server, c.tried)
 		message.Movable, message.OtherWaitMS = ok, uint32(wait.Milliseconds())
 	}
--- a/internal/process/agent/evacuation_test.go
+++ b/internal/process/agent/evacuation_test.go
@@ -162,7 +162,7 @@
 		follower.checkEvacuations()
 		boot += storeview.ResumeTime / 2
 		g.Expect(e.refusalInZone()).NotTo(BeNil())
-		follower.confirm(boot)
+		follower.confirm(boot, 0)
 		g.Expect(e.refusalInZone()).To(BeNil())
 	}
 }
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -212,13 +212,14 @@
 // their senders can send to other upstreams: the least important first, of these the
 // newest. The caller holds mu.
 func (e *executor) refuseExcess(out *[]outgoingAnswer) {
-	excess := e.queue.Excess(time.Now())
+	now := time.Now()
+	excess := e.queue.Excess(now)
 	if excess == 0 {
 		return
 	}
 	var movable []*run
 	for _, r := range e.runs {
-		if r.started.IsZero() && r.attempt.Movable {
+		if r.started.IsZero() && r.movable(now) {
 			movable = append(movable, r)
 		}
 	}
@@ -263,6 +264,7 @@
 	return &wire.Load{
 		Number: e.loadNumber, Running: e.queue.Running(), Waiting: e.queue.Waiting(),
 		Limit: e.queue.Limit(), ServiceTime: e.queue.ServiceTime(), Slowdown: e.speed.Percent(now),
+		StartRate: e.queue.StartRate(),
 	}
 }
 
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -271,8 +271,14 @@
 	table.Update(upstreams)
 }
 
+// loadOf returns the load for placement. A cold server that is limited to a rate starts its
+// next request later than its slots and service time say.
 func loadOf(l *wire.Load) placement.Load {
-	return placement.Load{Running: l.Running, Waiting: l.Waiting, Limit: l.Limit, ServiceTime: l.ServiceTime}
+	load := placement.Load{Running: l.Running, Waiting: l.Waiting, Limit: l.Limit, ServiceTime: l.ServiceTime}
+	if l.StartRate > 0 {
+		load.ServiceTime = max(load.ServiceTime, time.Duration(float64(max(1, l.Limit))/l.StartRate*float64(time.Second)))
+	}
+	return load
 }
 
 // pickUpstream chooses an upstream for a call that it has not tried, and counts an attempt
--- a/internal/process/agent/plan.go
+++ b/internal/process/agent/plan.go
@@ -123,7 +123,7 @@
 func reportOf(m *member, now time.Time) shedding.Report {
 	r := shedding.Report{Arrivals: m.status.Arrivals}
 	if m.acceptsAttempts(now) {
-		r.Service, r.Limit, r.Running = m.status.Service, m.status.Load.Limit, m.status.Load.Running
+		r.Service, r.Limit, r.Running, r.StartRate = m.status.Service, m.status.Load.Limit, m.status.Load.Running, m.status.Load.StartRate
 		r.QueueTime, r.Runs = m.status.QueueTime, m.status.Runs
 		r.Ended, r.Failed = m.status.Ended, m.status.Failed
 	}
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -123,7 +123,7 @@
 	switch {
 	case s.last.Server == "":
 		return false
-	case h.Started == 0 && s.last.Started != 0:
+	case h.Server == s.last.Server && h.Started == 0 && s.last.Started != 0:
 		return true
 	case h.Started != 0 && s.last.Started != 0 && h.Started != s.last.Started:
 		return h.Started < s.last.Started
@@ -142,6 +142,9 @@
 		s.mu.Unlock()
 		return
 	}
+	if s.last.Server == "" { // a late heartbeat of this start must not undo the notice
+		s.last.Server, s.last.Started = id, started
+	}
 	s.deregistered = true
 	s.last.State = StateDraining
 	s.markDraining()
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -52,6 +52,14 @@
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 2, 1, StateReady))
 			s.deregister(now, "a", 1)
 		}, 0, wire.ServerReady},
+		"it deregisters before its first heartbeat at this daemon": {func(s *serverState) {
+			s.deregister(now, "a", 1)
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
+		}, 0, wire.ServerDraining},
+		"another server, of a release without start times, follows it": {func(s *serverState) {
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
+			_ = s.applyHeartbeat(now, testHeartbeat("b", 0, 1, StateDraining))
+		}, 0, wire.ServerDraining},
 		"it deregisters, then another writer sends a heartbeat without a start time": {func(s *serverState) {
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
 			s.deregister(now, "a", 1)
--- a/internal/process/agent/speed.go
+++ b/internal/process/agent/speed.go
@@ -50,11 +50,11 @@
 		}
 	}
 	slices.SortFunc(queued, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.attempt.Context.Importance, b.attempt.Context.Importance), a.arrived.Compare(b.arrived))
+		return cmp.Or(cmp.Compare(a.attempt.Context.Importance, b.attempt.Context.Importance), a.objective.Compare(b.objective), a.arrived.Compare(b.arrived))
 	})
 	waiting := make([]serverspeed.Waiting, len(queued))
 	for i, r := range queued {
-		waiting[i] = serverspeed.Waiting{Arrived: r.arrived, Objective: r.objective, Movable: r.attempt.Movable}
+		waiting[i] = serverspeed.Waiting{Arrived: r.arrived, Objective: r.objective, Movable: r.movable(now)}
 	}
 	returned := 0
 	refused := problem.New(problem.KindOverloaded, "the backend server has become slower").WithRetryAfter(briefRetryAfter)
@@ -84,3 +84,9 @@
 	defer e.mu.Unlock()
 	return float64(e.speed.Percent(time.Now()))
 }
+
+// movable reports whether the sender of a waiting attempt can still send it to another
+// upstream: shouldRetry ends a call with less than minRetryTime left.
+func (r *run) movable(now time.Time) bool {
+	return r.attempt.Movable && r.deadline.Sub(now) > 2*minRetryTime
+}
--- a/internal/process/agent/tables.go
+++ b/internal/process/agent/tables.go
@@ -152,10 +152,14 @@
 }
 
 // confirm records that the version in force was the newest one at a time. Times before
-// the last one are ignored: that proof still holds.
-func (t *tablesFollower) confirm(at time.Duration) {
+// the last one are ignored: that proof still holds. So is a proof of a former era of the
+// store, whose read may have spanned the restore.
+func (t *tablesFollower) confirm(at time.Duration, era uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if era < t.era.Load() {
+		return
+	}
 	t.confirmed.Store(int64(t.proof.Confirm(at)))
 }
 
@@ -243,7 +247,7 @@
 	changed := t.applyEvacuations(now, byPosition, next, publication.Evacuations)
 	changed = t.applyPublication(publication) || changed
 	if t.mayConfirm(now, next.Era) {
-		t.confirm(confirmationTime(begun, now, emptyPoll, wait))
+		t.confirm(confirmationTime(begun, now, emptyPoll, wait), next.Era)
 	}
 	t.answerParked()
 	if changed {
--- a/internal/process/agent/tables_questions.go
+++ b/internal/process/agent/tables_questions.go
@@ -154,7 +154,7 @@
 		t.chooser.Unanswered(now, member)
 		return
 	}
-	t.confirm(proven)
+	t.confirm(proven, reply.StoreEra)
 	t.chooser.Answered(now, member, uint64(t.version()), now-proven)
 }
 
--- a/internal/process/agent/tables_test.go
+++ b/internal/process/agent/tables_test.go
@@ -148,7 +148,7 @@
 		}}
 		follower.apply(&catalog.Content{Version: 3}, nil, storeview.Position{})
 		confirmed := now
-		follower.confirm(confirmed)
+		follower.confirm(confirmed, 0)
 		link := &answerRecorder{}
 		follower.onQuestion(link, &wire.TablesRequest{Number: 7, Version: 3})
 		g.Expect(link.replies).To(HaveLen(1))
--- a/internal/process/agent/warmup.go
+++ b/internal/process/agent/warmup.go
@@ -153,13 +153,13 @@
 }
 
 // applyHealth applies a response of the health path to a query that was sent at begun. It
-// is ignored if the server is not the one of the last heartbeat, whose own heartbeats are
-// yet to come.
-func (s *serverState) applyHealth(now, begun time.Time, fields HealthFields) {
+// is ignored, and applyHealth returns false, if the server is not the one of the last
+// heartbeat, whose own heartbeats are yet to come.
+func (s *serverState) applyHealth(now, begun time.Time, fields HealthFields) bool {
 	s.mu.Lock()
 	if fields.Server != s.last.Server {
 		s.mu.Unlock()
-		return
+		return false
 	}
 	s.warmUp.Report(now, begun, fields.WarmUp)
 	if until := now.Add(fields.WarmUp); until.After(s.warmUntil) {
@@ -168,6 +168,7 @@
 	view := s.viewLocked(now)
 	s.mu.Unlock()
 	s.onChange(view)
+	return true
 }
 
 // watchWarmUp asks the backend server on its health path how long it stays cold, from
@@ -234,11 +235,11 @@
 func (a *Agent) queryHealth(client *http.Client, url string) {
 	begun := time.Now()
 	fields, ok := a.getHealth(client, url)
+	ok = ok && a.server.applyHealth(time.Now(), begun, fields)
 	a.deps.Metrics.RecordHealthQuery(ok)
 	if !ok {
-		return
+		return // asked again after healthInterval
 	}
-	a.server.applyHealth(time.Now(), begun, fields)
 	pause(a.ctx, minHealthInterval)
 	a.server.wakeWatch()
 }
--- a/internal/process/agent/zones.go
+++ b/internal/process/agent/zones.go
@@ -130,10 +130,10 @@
 	if !f.zones.plan.Has(c.service) {
 		return
 	}
-	f.zones.paths.Record(now, zone, path)
 	if answer.Response == nil {
-		return
+		return // it may have waited for a time that the answer does not tell
 	}
+	f.zones.paths.Record(now, zone, path)
 	mix := f.zones.mixes[c.service]
 	if mix == nil {
 		mix = &zonespill.Mix{}
--- a/internal/request/placement/otherwait.go
+++ b/internal/request/placement/otherwait.go
@@ -13,10 +13,10 @@
 // than id that is not in exclude. ok is false if there is no such candidate.
 func (t *Table) OtherWait(now time.Time, id string, exclude []string) (wait time.Duration, ok bool) {
 	for _, s := range t.upstreams {
-		if s.ID == id || slices.Contains(exclude, s.ID) {
+		if s.ID == id || s.Load.Limit <= 0 || slices.Contains(exclude, s.ID) {
 			continue
 		}
-		w := time.Duration(s.waits() * t.serviceSeconds(s) * float64(time.Second))
+		w := time.Duration(s.waitInServiceTimes() * t.serviceSeconds(s) * float64(time.Second))
 		if now.Before(s.ejectedUntil) {
 			w = ejectedWait
 		}
@@ -27,8 +27,8 @@
 	return wait, ok
 }
 
-// waits estimates the queueing time of a new attempt, in service times.
-func (s *upstreamState) waits() float64 {
+// waitInServiceTimes estimates the queueing time of a new attempt, in service times.
+func (s *upstreamState) waitInServiceTimes() float64 {
 	limit := float64(max(1, s.Load.Limit))
 	return max(0, float64(s.outstanding())+1-limit) / limit
 }
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -240,7 +240,7 @@
 	limit := float64(max(1, s.Load.Limit))
 	outstanding := float64(s.outstanding())
 	// The utilization term spreads load while no upstream is saturated.
-	cost := seconds * (1 + s.waits() + utilizationWeight*outstanding/limit)
+	cost := seconds * (1 + s.waitInServiceTimes() + utilizationWeight*outstanding/limit)
 	if !s.SameZone {
 		cost *= crossZoneFactor
 	}
@@ -270,7 +270,7 @@
 			return best.ID, true
 		}
 	}
-	return t.pickAnyZone(now, rng, t.withSlowZones(now, &r))
+	return t.pickAnyZone(now, rng, t.excludeSlowZones(now, &r))
 }
 
 // pickAnyZone chooses the cheaper of two random candidates, the first of them in this
--- a/internal/request/placement/zones.go
+++ b/internal/request/placement/zones.go
@@ -127,7 +127,8 @@
 // finish the request earlier by a fifth of what is left of its objective. Otherwise the
 // callers of a zone whose servers are slow would miss their objectives although others have room.
 func (t *Table) orFaster(now time.Time, rng *rand.Rand, r *Request, best *upstreamState) *upstreamState {
-	least := fasterShare * r.Objective.Seconds()
+	// Once the objective has passed, only a gain of half of the usual time pays.
+	least := max(fasterShare*r.Objective.Seconds(), r.ServiceTime.Seconds()/2)
 	if r.ServiceTime <= 0 || r.Objective <= 0 || r.ServiceTime.Seconds()*t.relativeTime(best)+t.waitOf(best) < least {
 		return best
 	}
@@ -233,10 +234,10 @@
 	return zone, true
 }
 
-// withSlowZones returns the excluded upstreams of a request and those in zones whose network
+// excludeSlowZones returns the excluded upstreams of a request and those in zones whose network
 // path is too slow for it, or only the former if no other candidate that is not ejected
 // would remain.
-func (t *Table) withSlowZones(now time.Time, r *Request) []string {
+func (t *Table) excludeSlowZones(now time.Time, r *Request) []string {
 	exclude, remains := slices.Clone(r.Exclude), false
 	for _, s := range t.upstreams {
 		if slices.Contains(r.SlowZones, s.Zone) {
--- a/internal/request/placement/zones_test.go
+++ b/internal/request/placement/zones_test.go
@@ -102,3 +102,11 @@
 		}
 	}
 }
+
+// Guards against leaving the zone for a gain of any size once the objective has passed.
+func TestLateAttemptsStayInTheirZone(t *testing.T) {
+	own, other := zoneUpstream("a1", "a", 5, 0), zoneUpstream("b1", "b", 5, 0)
+	own.Load.ServiceTime, other.Load.ServiceTime = 41*time.Millisecond, 40*time.Millisecond
+	count := zonePicks(sharedTable(1, own, other), Request{Objective: 1, ServiceTime: 400 * time.Millisecond}, 1000)
+	NewWithT(t).Expect(count["b"]).To(BeZero())
+}
--- a/internal/request/runqueue/bound.go
+++ b/internal/request/runqueue/bound.go
@@ -67,8 +67,8 @@
 	return q.startWaiting(now, actions)
 }
 
-// checkWait returns why an attempt is refused for its predicted wait, or "". The sender
-// of a refused attempt can use the remaining time at another upstream.
+// checkWait returns why an attempt is refused for its predicted wait, or "". A refusal as
+// ReasonObjectiveMissed is sent to another upstream, one as ReasonDeadlineTooClose ends the call.
 func (q *Queue) checkWait(now time.Time, e *entry) Reason {
 	if !e.ordered() {
 		if !q.canFinish(now.Add(q.predictedWait(now, e.class)), e) {
@@ -166,6 +166,9 @@
 // number of waiting attempts of its class, divided by the service rate that more
 // important classes leave to the class.
 func (q *Queue) predictedWait(now time.Time, class int) time.Duration {
+	if wait := q.limitedWait(now, class); wait > 0 {
+		return wait
+	}
 	if len(q.running) < q.Limit() || q.serviceTime == 0 {
 		return 0
 	}
@@ -182,6 +185,9 @@
 // slots that more important classes leave to the class, or the time until it is started
 // out of order if that is shorter.
 func (q *Queue) orderedWait(now time.Time, e *entry) time.Duration {
+	if wait := q.limitedWait(now, e.class); wait > 0 {
+		return wait
+	}
 	if len(q.running) < q.Limit() {
 		return 0
 	}
--- a/internal/request/runqueue/order.go
+++ b/internal/request/runqueue/order.go
@@ -151,8 +151,9 @@
 // head returns the attempt to be started next, nil if none waits, and whether it is out
 // of order, since it has waited for half of its time: one of a less important class, so
 // that no importance starves, otherwise one of the same class whose start lets its call
-// tree be answered, if its workspace is within its fair share. Within a class, starting late calls with more to come would take the time of
-// trees that can still meet their objective, for hardly any answer.
+// tree be answered, if its workspace is within its fair share. Within a class, starting late
+// calls with more to come would take the time of trees that can still meet their objective,
+// for hardly any answer.
 func (q *Queue) head(now time.Time) (e *entry, outOfOrder bool) {
 	for i := range q.classes {
 		if len(q.classes[i].flows) == 0 {
--- a/internal/request/runqueue/runqueue.go
+++ b/internal/request/runqueue/runqueue.go
@@ -245,6 +245,9 @@
 		q.recordStart(now, e, outOfOrder)
 		actions.Start = append(actions.Start, e.ID)
 	}
+	if len(q.waiting) == 0 {
+		q.slowdown = 1 // it is measured again when attempts wait
+	}
 	return actions
 }
 
--- a/internal/request/runqueue/startlimit.go
+++ b/internal/request/runqueue/startlimit.go
@@ -28,16 +28,36 @@
 // rateLimit returns the smaller of limit and the number of attempts that run at once at
 // the rate to which starts are limited.
 func (q *Queue) rateLimit(limit int) int {
-	if q.limiter == nil {
-		return limit
-	}
-	rate := q.limiter.Rate()
+	rate := q.StartRate()
 	if rate <= 0 {
 		return limit
 	}
 	return min(limit, max(1, int(rate*q.serviceTime.Seconds())))
 }
 
+// StartRate returns the starts per second that are allowed, 0 if they are not limited.
+func (q *Queue) StartRate() float64 {
+	if q.limiter == nil {
+		return 0
+	}
+	return q.limiter.Rate()
+}
+
+// limitedWait returns the queueing time of a new attempt of a class while starts are limited,
+// 0 if they are not. The slots tell nothing about it then: most are free.
+func (q *Queue) limitedWait(now time.Time, class int) time.Duration {
+	rate := q.StartRate()
+	if rate <= 0 {
+		return 0
+	}
+	_, wait := q.limiter.Allow(now)
+	ahead := 0
+	for c := range class + 1 {
+		ahead += q.classes[c].arrivals.Len()
+	}
+	return wait + time.Duration(trustedWaitShare*float64(ahead)/rate*float64(time.Second))
+}
+
 // mayStart reports whether the start limiter allows a start.
 func (q *Queue) mayStart(now time.Time) bool {
 	if q.limiter == nil {
--- a/internal/request/shedding/shedding.go
+++ b/internal/request/shedding/shedding.go
@@ -63,6 +63,7 @@
 	Service   string        // of the daemon's backend server; "" if none is in service
 	Limit     int           // maximum concurrent requests at the backend server
 	Running   int           // requests running at the backend server
+	StartRate float64       // requests per second that a cold server is limited to; 0: not limited
 	QueueTime time.Duration // mean queueing time at the daemon
 	// Ended is the rate, per second, of runs that ended. Failed is the part of it that
 	// the backend server refused, or whose answers were lost or corrupted.
@@ -70,6 +71,21 @@
 	Runs          []RunReport
 }
 
+// Slots returns the concurrent requests that the server handles: its limit, or what it runs at
+// once at the rate to which its starts are limited.
+func (r *Report) Slots() float64 {
+	slots := float64(r.Limit)
+	rate, seconds := 0.0, 0.0
+	for _, run := range r.Runs {
+		rate += run.Rate
+		seconds += run.Rate * run.ServiceTime.Seconds()
+	}
+	if r.StartRate <= 0 || rate <= 0 {
+		return slots
+	}
+	return min(slots, r.StartRate*seconds/rate)
+}
+
 // TrafficShare is the fraction of a route's requests that goes to one service.
 type TrafficShare struct {
 	Service  string
@@ -355,9 +371,10 @@
 			s = &serviceState{runs: map[string]*runState{}}
 			services[report.Service] = s
 		}
-		s.capacity += float64(report.Limit)
+		slots := report.Slots()
+		s.capacity += slots
 		s.running += float64(report.Running)
-		s.queueTime += float64(report.Limit) * report.QueueTime.Seconds()
+		s.queueTime += slots * report.QueueTime.Seconds()
 		s.ended += report.Ended
 		s.failed += report.Failed
 		for _, run := range report.Runs {
@@ -365,7 +382,9 @@
 		}
 	}
 	for _, s := range services {
-		s.queueTime /= s.capacity
+		if s.capacity > 0 {
+			s.queueTime /= s.capacity
+		}
 		for _, run := range s.runs {
 			run.serviceTime /= run.rate
 			for called := range run.calls {
--- a/internal/request/shedding/shedding_test.go
+++ b/internal/request/shedding/shedding_test.go
@@ -316,3 +316,14 @@
 	}
 	g.Expect(estimator.Report()).To(BeEmpty())
 }
+
+// Guards against a plan that counts a whole slot of a cold server that starts fewer requests.
+func TestSlotsOfAColdServer(t *testing.T) {
+	g := NewWithT(t)
+	r := Report{Limit: 1, StartRate: 16}
+	g.Expect(r.Slots()).To(Equal(1.0), "nothing is known of its runs")
+	r.Runs = []RunReport{{Route: "a", Rate: 30, ServiceTime: 10 * time.Millisecond}, {Route: "b", Rate: 10, ServiceTime: 70 * time.Millisecond}}
+	g.Expect(r.Slots()).To(BeNumerically("~", 16*0.025, 1e-9))
+	r.StartRate = 0
+	g.Expect(r.Slots()).To(Equal(1.0))
+}
--- a/internal/request/warmup/warmup.go
+++ b/internal/request/warmup/warmup.go
@@ -24,6 +24,8 @@
 	// holds, and a margin for the time that a request takes to reach the server, which
 	// varies with the load of the host.
 	window = time.Second + 50*time.Millisecond
+	// minRate bounds the time between two starts that the pace is adapted to.
+	minRate = 1e-6
 	// catchUpTime is for how long a start that was allowed and not made can be made up
 	// for. The queue is checked every 20 ms, so that starts are often late.
 	catchUpTime = 100 * time.Millisecond
@@ -92,8 +94,11 @@
 		l.fullUntil = now.Add(window) // requests were not recorded
 	}
 	l.known, l.rate = true, rate
-	if rate <= 0 {
+	switch latest := now.Add(time.Duration(float64(time.Second) / max(rate, minRate))); {
+	case rate <= 0:
 		l.reached = nil
+	case l.nextStart.After(latest):
+		l.nextStart = latest // it was paced by a lower rate
 	}
 	l.Advance(now)
 }
@@ -196,8 +201,8 @@
 	l.reached = slices.Insert(l.reached, i, reached)
 }
 
-// Rate returns the rate to which the starts are limited, 0 if they are not, or not for
-// long enough that others should know.
+// Rate returns the rate to which the starts are limited, 0 if they are not limited, or if the
+// sign of a restart is younger than confirmationTime.
 func (l *Limiter) Rate() float64 {
 	if !l.shown {
 		return 0
--- a/internal/request/warmup/warmup_test.go
+++ b/internal/request/warmup/warmup_test.go
@@ -215,3 +215,20 @@
 	g.Expect(inCold).To(BeNumerically(">=", 35), "it is used at its rate")
 	g.Expect(later).To(BeNumerically(">", before*16/10), "it is used fully once it is warm")
 }
+
+// Guards against starts that stay paced by a rate that was corrected.
+func TestPaceFollowsTheRate(t *testing.T) {
+	g := NewWithT(t)
+	now := epoch
+	l := New(now, tolerance, silence)
+	l.SetRate(now, 0.001)
+	now = now.Add(2 * time.Second)
+	first, _ := l.Allow(now)
+	g.Expect(first).To(BeTrue())
+	l.Started(now)
+	l.Ended(now, now)
+	l.SetRate(now, 16)
+	now = now.Add(2 * time.Second)
+	ok, wait := l.Allow(now)
+	g.Expect(ok).To(BeTrue(), "the next start has to wait for %v", wait)
+}
--- a/internal/request/zonespill/zonespill.go
+++ b/internal/request/zonespill/zonespill.go
@@ -188,7 +188,7 @@
 			own += run.Rate * run.ServiceTime.Seconds()
 		}
 	}
-	slots := float64(r.Limit)
+	slots := r.Slots()
 	if own > 0 {
 		slots *= usual / own
 	}
--- a/internal/version/check/check.go
+++ b/internal/version/check/check.go
@@ -262,6 +262,10 @@
 		if limit.Rate > 0 && limit.Time == 0 {
 			e.add(FieldWarmUpRate, ClassContradiction, "has a warm-up rate without a warm-up time", "set the warm-up time, or remove the rate")
 		}
+		if limit.Rate > 0 && !strings.HasPrefix(limit.HealthPath, "/") {
+			e.add(FieldHealthPath, ClassContradiction, "has a warm-up rate without a health path that begins with a slash",
+				"set the health path, on which a server tells how long it stays cold, or remove the rate")
+		}
 	}
 }
 
