--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -333,33 +333,12 @@
 			delete(e.startedByRequest, r.attempt.RequestID)
 		}
 		slower := e.reportSpeed(now, r, sample)
-		// The sign of a restart and the end of the run apply before the next attempt starts.
-		sign := e.restartSign(now, r, err)
-		if sign != "" {
-			e.server.mayHaveRestarted(now, sign)
-		}
-		e.server.runEnded(now, latestArrival(now, r, answer, sign))
-		if response != nil {
-			e.lastResponse = now
-		}
+		e.endRun(now, r, answer, response, err) // before the next attempt starts
 		actions := e.queue.Finish(now, r.attempt.ID, sample)
 		e.applySpeed(now)
-		if sample > 0 {
-			e.callEstimator.RecordRun(r.attempt.Route, serviceTime)
-		}
-		if !r.abandoned {
-			e.callEstimator.RecordOutcome(e.isServerFailure(r, answer))
-		}
-		if e.callsAttributed && answer.Response != nil && answer.Response.Status < http.StatusInternalServerError {
-			e.callEstimator.RecordCalls(r.attempt.Route, r.calls)
-		}
-		for _, id := range actions.Start {
-			if started, ok := e.runs[id]; ok {
-				started.started = now // returnLate must not take it for waiting
-			}
-		}
+		e.recordOutcome(r, answer, sample)
 		if slower {
-			e.returnLate(now, out)
+			e.returnLate(now, actions.Start, out)
 		}
 		answer.Load, answer.RefusedBy = e.load(), r.refusedBy
 		if !r.abandoned {
@@ -377,6 +356,20 @@
 	e.log.logRun(r, answer, serviceTime, response, use, err)
 }
 
+// recordOutcome records the result of a run for the statuses. A service time above 0 is one of
+// a run with a response. The caller holds mu.
+func (e *executor) recordOutcome(r *run, answer *wire.Answer, serviceTime time.Duration) {
+	if serviceTime > 0 {
+		e.callEstimator.RecordRun(r.attempt.Route, serviceTime)
+	}
+	if !r.abandoned {
+		e.callEstimator.RecordOutcome(e.isServerFailure(r, answer))
+	}
+	if e.callsAttributed && answer.Response != nil && answer.Response.Status < http.StatusInternalServerError {
+		e.callEstimator.RecordCalls(r.attempt.Route, r.calls)
+	}
+}
+
 // connectionUse returns what the result of an exchange tells of its connection.
 func connectionUse(response *backend.Response, err error) backend.ConnectionUse {
 	var failure *backend.Error
--- a/internal/process/agent/speed.go
+++ b/internal/process/agent/speed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/request/problem"
 	"tarragonshore.example/tarragonshore/internal/request/serverspeed"
@@ -37,15 +38,15 @@
 }
 
 // returnLate refuses, as not executed, the waiting attempts that the slower server cannot
-// finish within their objectives and that their senders can send elsewhere. The caller holds
-// mu.
-func (e *executor) returnLate(now time.Time, out *[]outgoingAnswer) {
+// finish within their objectives and that their senders can send elsewhere. starting lists the
+// attempts that start next, which do not wait any more. The caller holds mu.
+func (e *executor) returnLate(now time.Time, starting []wire.AttemptID, out *[]outgoingAnswer) {
 	if e.queue.Waiting() == 0 {
 		return
 	}
 	queued := make([]*run, 0, e.queue.Waiting())
 	for _, r := range e.runs {
-		if r.started.IsZero() {
+		if r.started.IsZero() && !slices.Contains(starting, r.attempt.ID) {
 			queued = append(queued, r)
 		}
 	}
--- a/internal/process/agent/speed_test.go
+++ b/internal/process/agent/speed_test.go
@@ -43,7 +43,7 @@
 	ended.serverLoad = &ServerLoad{Slowdown: 800}
 	var out []outgoingAnswer
 	g.Expect(e.reportSpeed(now, ended, 160*time.Millisecond)).To(BeTrue())
-	e.returnLate(now, &out)
+	e.returnLate(now, nil, &out)
 	// At 160 ms, those at positions 1 to 5 of the queue end within 250 ms.
 	g.Expect(out).To(HaveLen(14))
 	g.Expect(out[0].answer.ID).To(Equal(wire.AttemptID{28}), "the newest that can be moved")
--- a/internal/process/agent/warmup.go
+++ b/internal/process/agent/warmup.go
@@ -278,6 +278,19 @@
 	return false
 }
 
+// endRun tells the limiter for a cold server of the end of a run, and of what it shows about
+// a restart. The caller holds e.mu.
+func (e *executor) endRun(now time.Time, r *run, answer *wire.Answer, response *backend.Response, err error) {
+	sign := e.restartSign(now, r, err)
+	if sign != "" {
+		e.server.mayHaveRestarted(now, sign)
+	}
+	e.server.runEnded(now, latestArrival(now, r, answer, sign))
+	if response != nil {
+		e.lastResponse = now
+	}
+}
+
 // restartSign returns what the end of a run tells about a restart of the server, "" if it
 // tells nothing. The caller holds e.mu. A refused connection is recorded by
 // serverState.connectionRefused.
