agent, placement: one function for what the new parts wrote again

Cause: the refusal of a waiting attempt stood in three places, the wait at an upstream and the choice of the cheaper of two in two places each, and the greatest status of HTTP in two packages. Change: refuseExcess and returnLate call withdrawLocked, OtherWait and waitOf share one estimate, pickAnyZone and cheaperOfTwo share orCheaper, and package agent uses backend.MaxStatus. No behaviour changes; no test was touched.

--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -65,8 +65,8 @@
 	// together: each may be within the limit for one body, and all of them too much for
 	// the memory of the host.
 	maxBufferedBytes = 32 << 20
-	// maxStatus is the greatest status of HTTP (RFC 9110, section 15).
-	maxStatus = 599
+	// MaxStatus is the greatest status of HTTP (RFC 9110, section 15).
+	MaxStatus = 599
 	// bodyReadBytes is the most that an exchange reads of a body at a time.
 	bodyReadBytes = 64 << 10
 )
@@ -465,7 +465,7 @@
 	if joinedHead(response) {
 		return nil, false, false, ErrJoined
 	}
-	if response.StatusCode < 100 || response.StatusCode > maxStatus {
+	if response.StatusCode < 100 || response.StatusCode > MaxStatus {
 		return nil, false, false, ErrStatus
 	}
 	// response.Body is not closed: Close would read a body without end. The connection is
--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonshore.example/tarragonshore/internal/connection/backend"
 	"tarragonshore.example/tarragonshore/internal/connection/peer"
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/metrics"
@@ -28,8 +29,6 @@
 	answerGrace = 120 * time.Millisecond
 	// minRetryTime is the least time before the deadline at which a call is retried.
 	minRetryTime = 50 * time.Millisecond
-	// maxStatus is the greatest status of HTTP (RFC 9110, section 15).
-	maxStatus = 599
 )
 
 // call is a request to be run by one of a service's upstreams.
@@ -417,7 +416,7 @@
 		return // the attempt was abandoned
 	}
 	result := attemptResult{response: answer.Response, answer: answer}
-	if r := answer.Response; r != nil && (r.Status < http.StatusOK || r.Status > maxStatus) {
+	if r := answer.Response; r != nil && (r.Status < http.StatusOK || r.Status > backend.MaxStatus) {
 		// Earlier releases deliver such responses of their backend servers.
 		result.response = nil
 		result.refusal = problem.Unknown(problem.KindUpstreamFailed, "the status of the response is outside 200 to 599")
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -227,10 +227,7 @@
 		return cmp.Or(cmp.Compare(b.attempt.Context.Importance, a.attempt.Context.Importance), b.arrived.Compare(a.arrived))
 	})
 	for _, r := range movable[:min(excess, len(movable))] {
-		if e.queue.Cancel(r.attempt.ID) {
-			delete(e.runs, r.attempt.ID)
-			*out = append(*out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, queueRefusal(runqueue.ReasonStartsLimited))})
-		}
+		e.withdrawLocked(r.attempt.ID, queueRefusal(runqueue.ReasonStartsLimited), out)
 	}
 }
 
@@ -484,14 +481,16 @@
 	return problem.New(problem.KindDraining, detail).WithRetryAfter(briefRetryAfter)
 }
 
-// withdrawLocked refuses an attempt that has not started. The caller holds mu.
-func (e *executor) withdrawLocked(id wire.AttemptID, refused *problem.Problem, out *[]outgoingAnswer) {
+// withdrawLocked refuses an attempt that has not started, and reports whether there was one.
+// The caller holds mu.
+func (e *executor) withdrawLocked(id wire.AttemptID, refused *problem.Problem, out *[]outgoingAnswer) bool {
 	r, ok := e.runs[id]
 	if !ok || !e.queue.Cancel(id) {
-		return
+		return false
 	}
 	delete(e.runs, id)
 	*out = append(*out, outgoingAnswer{r.receiver, e.refusalAnswer(r.attempt, refused)})
+	return true
 }
 
 // receiverLost abandons the attempts that arrived on a link that has closed.
--- a/internal/process/agent/speed.go
+++ b/internal/process/agent/speed.go
@@ -61,11 +61,9 @@
 	refused := problem.New(problem.KindOverloaded, "the backend server has become slower").WithRetryAfter(briefRetryAfter)
 	for _, i := range e.speed.Late(now, waiting, e.queue.Limit()) {
 		attempt := queued[i].attempt
-		if !e.queue.Cancel(attempt.ID) {
+		if !e.withdrawLocked(attempt.ID, refused, out) {
 			continue
 		}
-		delete(e.runs, attempt.ID)
-		*out = append(*out, outgoingAnswer{queued[i].receiver, e.refusalAnswer(attempt, refused)})
 		e.metrics.RecordReturned(attempt.Pool)
 		returned++
 	}
--- a/internal/request/placement/otherwait.go
+++ b/internal/request/placement/otherwait.go
@@ -16,7 +16,7 @@
 		if s.ID == id || s.Load.Limit <= 0 || slices.Contains(exclude, s.ID) {
 			continue
 		}
-		w := time.Duration(s.waitInServiceTimes() * t.serviceSeconds(s) * float64(time.Second))
+		w := time.Duration(t.waitOf(s) * float64(time.Second))
 		if now.Before(s.ejectedUntil) {
 			w = ejectedWait
 		}
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -283,18 +283,15 @@
 		}
 	}
 	for _, includeEjected := range []bool{false, true} {
-		first := t.draw(rng, func(s *upstreamState) bool { return s.SameZone && s.eligible(now, exclude, includeEjected) })
+		eligible := func(s *upstreamState) bool { return s.eligible(now, exclude, includeEjected) }
+		first := t.draw(rng, func(s *upstreamState) bool { return s.SameZone && eligible(s) })
 		if first == nil {
-			first = t.draw(rng, func(s *upstreamState) bool { return s.eligible(now, exclude, includeEjected) })
+			first = t.draw(rng, eligible)
 		}
 		if first == nil {
 			continue
 		}
-		best := first
-		second := t.draw(rng, func(s *upstreamState) bool { return s != first && s.eligible(now, exclude, includeEjected) })
-		if second != nil && t.cost(now, second) < t.cost(now, first) {
-			best = second
-		}
+		best := t.orCheaper(now, rng, first, eligible)
 		if best.failureRatio(now) > compareAllAbove {
 			best = t.cheapest(now, best, exclude, includeEjected)
 		}
--- a/internal/request/placement/zones.go
+++ b/internal/request/placement/zones.go
@@ -182,10 +182,7 @@
 func (t *Table) waits(s *upstreamState) bool { return t.waitOf(s) > tolerableWait*t.serviceSeconds(s) }
 
 // waitOf estimates how long a new attempt would wait at an upstream, in seconds.
-func (t *Table) waitOf(s *upstreamState) float64 {
-	limit := float64(max(1, s.Load.Limit))
-	return max(0, float64(s.outstanding())+1-limit) / limit * t.serviceSeconds(s)
-}
+func (t *Table) waitOf(s *upstreamState) float64 { return s.waitInServiceTimes() * t.serviceSeconds(s) }
 
 // chooseZone draws a zone by the shares, of those with a candidate that is not ejected and
 // whose network path is not too slow, or this daemon's zone if none of them has a share. ok
@@ -263,6 +260,11 @@
 	if first == nil {
 		return nil
 	}
+	return t.orCheaper(now, rng, first, accept)
+}
+
+// orCheaper returns the cheaper of a candidate and another random one.
+func (t *Table) orCheaper(now time.Time, rng *rand.Rand, first *upstreamState, accept func(*upstreamState) bool) *upstreamState {
 	second := t.draw(rng, func(s *upstreamState) bool { return s != first && accept(s) })
 	if second != nil && t.cost(now, second) < t.cost(now, first) {
 		return second
