agent: a stop passes on only what it can answer before it ends

Cause: what may be a call of the local backend server was accepted until 1.2 s before the end of the process, whatever its deadline. A request without a key passes for such a call while a run with a later deadline is in progress and no call has named its run. Genuine calls were cut the same way.

Change: late in a stop, only what expires before the end is accepted, whoever sent it. The same rule bounds retries, attempts that a slow link has held up, and attempts in the queues of this host and of others, which were started until 0.2 s before the end. With a grace time below 4.8 s the process ended before the last sixth of it; its margin now scales with the grace time.

Why it works: the deadline of a request bounds its end, so that nothing has to be known about its sender or about service times.

--- a/internal/process/agent/dispatcher.go
+++ b/internal/process/agent/dispatcher.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/backend"
@@ -63,8 +62,9 @@
 
 // pendingAttempt is an attempt whose answer has not arrived.
 type pendingAttempt struct {
-	done chan attemptResult // buffered
-	link peer.Link          // that it was sent on; nil for the local executor
+	done     chan attemptResult // buffered
+	link     peer.Link          // that it was sent on; nil for the local executor
+	deadline time.Time
 }
 
 // dispatcher sends attempts to executing daemons and waits for their answers.
@@ -78,9 +78,8 @@
 	// retryLimit bounds the retries that arrive at a service, summed over all levels
 	// of the call chain, as a fraction of its requests.
 	retryLimit float64
-	// stopping is true at the end of a graceful stop, when no attempt is sent any more and
-	// every new request is refused.
-	stopping atomic.Bool
+	// stop tells what may still begin during a graceful stop.
+	stop stopState
 
 	mu        sync.Mutex
 	pending   map[wire.AttemptID]*pendingAttempt
@@ -112,7 +111,7 @@
 func (d *dispatcher) sendAttempts(ctx context.Context, c *call, outcome *callOutcome) (*wire.Response, *problem.Problem) {
 	reached, notReached := 0, 0
 	for {
-		if d.stopping.Load() {
+		if !d.stop.starts(time.Now(), c.deadline) {
 			return outcome.finalAnswer("the daemon is stopping")
 		}
 		id, member, ok := d.fleet.pickUpstream(time.Now(), c)
@@ -162,7 +161,7 @@
 		return false, "answered"
 	case result.response != nil && result.response.Status == http.StatusGatewayTimeout:
 		return false, "answered"
-	case d.stopping.Load():
+	case !d.stop.starts(time.Now(), c.deadline):
 		return false, "stopping"
 	case remaining < minRetryTime:
 		return false, "no-time-left"
@@ -333,7 +332,7 @@
 		wait, ok := d.fleet.otherUpstreamWait(time.Now(), c.service, server, c.tried)
 		message.Movable, message.OtherWaitMS = ok, uint32(wait.Milliseconds())
 	}
-	p := &pendingAttempt{done: make(chan attemptResult, 1)}
+	p := &pendingAttempt{done: make(chan attemptResult, 1), deadline: c.deadline}
 	if member.self {
 		d.addPending(message.ID, p)
 		d.local.submit(d, message)
@@ -344,6 +343,9 @@
 		d.fleet.markUnreachable(time.Now(), member.name)
 		return notSent("no link to " + member.name + ": " + err.Error())
 	}
+	if !d.stop.starts(time.Now(), c.deadline) { // opening the link may have taken long
+		return notSent("the daemon is stopping")
+	}
 	p.link = link
 	d.addPending(message.ID, p)
 	if err := link.Send(message); err != nil {
@@ -388,15 +390,14 @@
 	return attemptResult{abandoned: true, refusal: problem.Unknown(problem.KindDeadline, "no answer before the deadline")}
 }
 
-// withdraw ends the calls whose attempt no backend server has started, at the end of a
-// graceful stop. The executing daemons refuse these attempts as not executed; those at the
-// local executor are withdrawn there.
-func (d *dispatcher) withdraw() {
-	d.stopping.Store(true)
+// withdraw asks the other daemons, during a graceful stop, to refuse the attempts that expire
+// at the time from or later as not executed, unless a backend server has started them. It
+// returns the number of these attempts. Those at the local executor are withdrawn there.
+func (d *dispatcher) withdraw(from time.Time) int {
 	links := map[wire.AttemptID]peer.Link{}
 	d.mu.Lock()
 	for id, p := range d.pending {
-		if p.link != nil {
+		if p.link != nil && !p.deadline.Before(from) {
 			links[id] = p.link
 		}
 	}
@@ -404,6 +405,7 @@
 	for id, link := range links {
 		_ = link.Send(&wire.Cancel{ID: id, KeepStarted: true}) // a closed link ends its attempts
 	}
+	return len(links)
 }
 
 // deliver processes an answer from a link or from the local executor.
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -74,9 +74,7 @@
 	service    string // of this host, from the settings
 	metrics    *metrics.Metrics
 	log        *requestLog
-	// stopping is nil until a graceful stop begins.
-	stopping atomic.Pointer[stopSchedule]
-	inFlight atomic.Int64
+	inFlight   atomic.Int64
 	// accepted is the number of requests in flight that were not refused on arrival.
 	accepted atomic.Int64
 
@@ -98,7 +96,7 @@
 	defer e.inFlight.Add(-1)
 	req := &inboundRequest{arrived: time.Now(), tablesAge: e.tables.age(), ranAhead: caller.RunsAhead(w)}
 	response, refusal := e.handle(r, req)
-	if e.stopping.Load() != nil {
+	if e.dispatcher.stop.begun() {
 		caller.CloseAfter(w, r)
 	}
 	if r.Context().Err() != nil {
@@ -305,18 +303,16 @@
 	}
 }
 
-// checkStop returns a refusal if the daemon is stopping and the request might be cut off.
+// checkStop returns a refusal if the daemon is stopping and the request could be cut off.
 func (e *entryHandler) checkStop(req *inboundRequest) *problem.Problem {
-	stop := e.stopping.Load()
-	if stop == nil {
+	if !e.dispatcher.stop.begun() {
 		return nil
 	}
-	now := time.Now()
 	fromCaller := req.workspace != "" || !req.ofRun && !e.executor.mayHaveMadeCall(req.statedDeadline())
-	if e.dispatcher.stopping.Load() || !stop.accepts(now, fromCaller) || !fromCaller && !stop.acceptsCall(now, req.deadline) {
-		return problem.New(problem.KindDraining, "the daemon is stopping").WithRetryAfter(staleRetryAfter)
+	if e.dispatcher.stop.accepts(time.Now(), fromCaller, req.deadline) {
+		return nil
 	}
-	return nil
+	return problem.New(problem.KindDraining, "the daemon is stopping").WithRetryAfter(staleRetryAfter)
 }
 
 // shedRetryAfter returns the Retry-After of a shed request, spread by a hash of its id.
--- a/internal/process/agent/evacuation.go
+++ b/internal/process/agent/evacuation.go
@@ -187,7 +187,7 @@
 	e.evacuated = evacuated
 	e.mu.Unlock()
 	if evacuated {
-		e.withdrawQueued(evacuatedRefusal())
+		e.withdrawQueued(time.Time{}, evacuatedRefusal())
 	}
 }
 
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -466,14 +466,18 @@
 	})
 }
 
-// withdrawQueued refuses all attempts that have not started as not executed.
-func (e *executor) withdrawQueued(refused *problem.Problem) {
+// withdrawQueued refuses the attempts that have not started and expire at the time from or
+// later as not executed, and returns their number.
+func (e *executor) withdrawQueued(from time.Time, refused *problem.Problem) (withdrawn int) {
 	e.updateQueue(func(out *[]outgoingAnswer) runqueue.Actions {
-		for id := range e.runs {
-			e.withdrawLocked(id, refused, out)
+		for id, r := range e.runs {
+			if !r.deadline.Before(from) && e.withdrawLocked(id, refused, out) {
+				withdrawn++
+			}
 		}
 		return runqueue.Actions{}
 	})
+	return withdrawn
 }
 
 // drainingRefusal returns the refusal of an attempt that a stop or a drain has withdrawn.
@@ -523,7 +527,7 @@
 // refuseQueued refuses the attempts that are still queued at a server that is draining.
 func (e *executor) refuseQueued() {
 	if e.server.view(time.Now()).State == wire.ServerDraining {
-		e.withdrawQueued(drainingRefusal("the backend server is draining"))
+		e.withdrawQueued(time.Time{}, drainingRefusal("the backend server is draining"))
 	}
 }
 
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -216,7 +216,7 @@
 	for n := range byte(40) {
 		g.Expect(refused[n]).To(Equal(n < 30), "those that cannot be moved fill what starts in 500 ms: %d", n)
 	}
-	e.withdrawQueued(drainingRefusal(""))
+	e.withdrawQueued(time.Time{}, drainingRefusal(""))
 	for n := range byte(30) {
 		submit(n+100, true, 3-n/15)
 	}
--- a/internal/process/agent/pipelining.go
+++ b/internal/process/agent/pipelining.go
@@ -9,7 +9,7 @@
 func (e *entryHandler) pipelining() caller.Pipelining {
 	return caller.Pipelining{
 		Route:    e.pipelinedRoute,
-		Stopping: func() bool { return e.stopping.Load() != nil },
+		Stopping: e.dispatcher.stop.begun,
 		Decided:  func(reason pipeline.Reason, depth int) { e.metrics.RecordPipelined(string(reason), depth) },
 	}
 }
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/process/logging"
@@ -16,9 +17,11 @@
 	// still accepted. Some callers do not move, and what is accepted must finish before
 	// the process is killed.
 	acceptShare = 0.44
-	// killMargin is the time kept free before the platform kills the process: closing
-	// waits for dials in progress and for the last log lines to be written.
-	killMargin = 800 * time.Millisecond
+	// killShare is the fraction of the grace time kept free before the platform kills the
+	// process, at most maxKillMargin: closing waits for dials in progress and for the last log
+	// lines to be written. Only what is at work in the last sixth of the grace time may be cut.
+	killShare     = 0.14
+	maxKillMargin = 800 * time.Millisecond
 	// pollPause is the time between checks for requests in flight, and the pause after
 	// a failed read of a status.
 	pollPause = 20 * time.Millisecond
@@ -27,23 +30,37 @@
 	// withdrawTime is the time before the deadline of a stop at which the attempts that
 	// still wait in queues are withdrawn, so that their callers get an answer.
 	withdrawTime = 200 * time.Millisecond
-	// callFinishTime is the time before the withdrawal in which no new call is accepted
-	// whose own deadline is later: it could be cut off.
-	callFinishTime = time.Second
+	// finishTime is the time before the withdrawal from which no attempt is started whose
+	// deadline is later: it could be cut off.
+	finishTime = time.Second
 )
 
-// stopSchedule determines what a daemon still serves after a graceful stop has begun.
+// stopSchedule determines what a daemon still does after a graceful stop has begun.
+//
+// After the time in which callers are served, only calls of runs in progress are accepted,
+// and only those that expire before the process ends: a call that is cut off fails its run
+// just as one that is refused, but may have run. Since a request without a key is not known
+// for certain to be a call, the same bound keeps those of callers from being cut off.
 type stopSchedule struct {
 	begun time.Time
 	grace time.Duration // until the platform kills the process
 }
 
-// accepts reports whether a request that arrives at now is still served. Calls made by
-// the local backend server belong to runs in progress and are always served.
-func (s stopSchedule) accepts(now time.Time, fromCaller bool) bool {
-	return !fromCaller || now.Before(s.acceptsUntil())
+// accepts reports whether a request that arrives at now and expires at deadline is served.
+// fromCaller is false if it is taken for a call of the local backend server.
+func (s stopSchedule) accepts(now time.Time, fromCaller bool, deadline time.Time) bool {
+	return now.Before(s.acceptsUntil()) || !fromCaller && s.finishes(deadline)
 }
 
+// starts reports whether an attempt of an accepted request, which expires at deadline, is
+// started at now.
+func (s stopSchedule) starts(now, deadline time.Time) bool {
+	return now.Before(s.startsUntil()) || s.finishes(deadline)
+}
+
+// finishes reports whether what expires at deadline has an answer when the process ends.
+func (s stopSchedule) finishes(deadline time.Time) bool { return deadline.Before(s.withdrawal()) }
+
 // lameDuckUntil returns the time from which the daemon ends once nothing is in progress.
 func (s stopSchedule) lameDuckUntil() time.Time {
 	return s.begun.Add(min(lameDuckTime, s.acceptsUntil().Sub(s.begun)))
@@ -54,17 +71,46 @@
 	return s.begun.Add(time.Duration(acceptShare * float64(s.grace)))
 }
 
-// acceptsCall reports whether a call of a run in progress that arrives at now and expires
-// at deadline will have been answered when the process exits.
-func (s stopSchedule) acceptsCall(now, deadline time.Time) bool {
-	return s.accepts(now, true) || now.Before(s.withdrawal().Add(-callFinishTime)) || deadline.Before(s.withdrawal())
+// startsUntil returns the time from which attempts are not started that expire after the
+// withdrawal.
+func (s stopSchedule) startsUntil() time.Time {
+	if t := s.withdrawal().Add(-finishTime); t.After(s.acceptsUntil()) {
+		return t
+	}
+	return s.acceptsUntil()
 }
 
 // withdrawal returns the time at which attempts that wait in queues are withdrawn.
 func (s stopSchedule) withdrawal() time.Time { return s.deadline().Add(-withdrawTime) }
 
 // deadline returns the time by which the process has to exit.
-func (s stopSchedule) deadline() time.Time { return s.begun.Add(s.grace - killMargin) }
+func (s stopSchedule) deadline() time.Time {
+	margin := min(maxKillMargin, time.Duration(killShare*float64(s.grace)))
+	return s.begun.Add(s.grace - margin)
+}
+
+// stopState tells the parts of a daemon what they may still begin. The zero value is that of
+// a daemon that is not stopping.
+type stopState struct {
+	schedule atomic.Pointer[stopSchedule]
+	// withdrawn is true at the end of a stop, when nothing begins any more.
+	withdrawn atomic.Bool
+}
+
+// begun reports whether a stop has begun.
+func (s *stopState) begun() bool { return s.schedule.Load() != nil }
+
+// accepts is stopSchedule.accepts for the stop in progress, true if there is none.
+func (s *stopState) accepts(now time.Time, fromCaller bool, deadline time.Time) bool {
+	schedule := s.schedule.Load()
+	return schedule == nil || !s.withdrawn.Load() && schedule.accepts(now, fromCaller, deadline)
+}
+
+// starts is stopSchedule.starts for the stop in progress, true if there is none.
+func (s *stopState) starts(now, deadline time.Time) bool {
+	schedule := s.schedule.Load()
+	return schedule == nil || !s.withdrawn.Load() && schedule.starts(now, deadline)
+}
 
 // Stop stops the agent gracefully. Requests that were accepted are completed within the
 // grace time, and those that arrive later are refused as not executed for as long as
@@ -75,9 +121,11 @@
 	logging.InfoEvent("agent", "stopping", "member", a.cfg.Member, "grace", a.cfg.StopGrace)
 	ctx, cancel := context.WithDeadline(ctx, schedule.deadline())
 	defer cancel()
-	a.entry.stopping.Store(&schedule)
+	a.dispatcher.stop.schedule.Store(&schedule)
 	a.leaving.Store(true)
 	a.executor.drain()
+	lateStarts := time.AfterFunc(time.Until(schedule.startsUntil()), func() { a.withdrawLateStarts(schedule) })
+	defer lateStarts.Stop()
 	a.broadcast(0)
 	a.tables.answerParked() // the askers turn to the zone's next reader
 	accepting, endAccepting := context.WithDeadline(ctx, schedule.acceptsUntil())
@@ -92,8 +140,9 @@
 	}()
 	pause(ctx, time.Until(schedule.lameDuckUntil()))
 	a.drain(ctx, schedule)
-	a.dispatcher.withdraw()
-	a.executor.withdrawQueued(drainingRefusal("the daemon is stopping"))
+	a.dispatcher.stop.withdrawn.Store(true)
+	a.dispatcher.withdraw(time.Time{})
+	a.executor.withdrawQueued(time.Time{}, drainingRefusal("the daemon is stopping"))
 	endAccepting()
 	a.stopCallerPort(ctx)
 	<-unregistered
@@ -102,6 +151,14 @@
 	return nil
 }
 
+// withdrawLateStarts withdraws the attempts that have not started and expire after the
+// withdrawal, here and at other hosts, since they could be cut off from now on.
+func (a *Agent) withdrawLateStarts(schedule stopSchedule) {
+	sent := a.dispatcher.withdraw(schedule.withdrawal())
+	queued := a.executor.withdrawQueued(schedule.withdrawal(), drainingRefusal("the daemon is stopping"))
+	logging.InfoEvent("agent", "late-starts-withdrawn", "sent", sent, "queued", queued, "accepted", a.entry.accepted.Load(), "runs", a.executor.inProgress())
+}
+
 // Close stops the agent at once and aborts the requests in flight.
 func (a *Agent) Close() {
 	a.cancel()
