agent: the departure of a backend server outlasts the daemon

The daemon beside it was killed and started again, a late heartbeat arrived, and 189 requests reached the server later than 2 s after the acknowledgement.

Cause: which starts of its server have left, and which start is the newest, was in the daemon's memory only.

Change: the store holds a record of each host's backend server. A daemon reads it before it reports its server as ready, and acknowledges a departure once the store has it; until then it responds with 503, and the departure is in effect. Each record has a greater epoch, which fences off writes that the store would execute late. After a restore of the store it is written again. A start whose clock was set back behind that of the last one is taken up once its heartbeats go on; before, it was refused until the daemon ended, and with a record it would have been for good.

Why it works: the record outlasts daemons, also all at once, and a planned stop, which removes the entry in the directory only. A new start has a later start time and is taken up at once.

Ruled out: the memory of other daemons (gone if all end), the health path (a server need not tell there), the entry in the directory (written before it is read, removed at a stop).

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -1,6 +1,6 @@
 // Package agent implements the daemon for a fleet on a shared platform. The
 // platform's store publishes the operators' tables and holds the directory of
-// daemons; the agent itself stores nothing durably. One agent runs beside each
+// daemons; what the agent has to remember of its backend server is there too. One agent runs beside each
 // backend server. Requests from callers on its host and calls made by its backend
 // server enter the system here, and the backend server is reached only through it.
 //
@@ -12,7 +12,7 @@
 // exchange their status over UDP; attempts travel over peer links.
 //
 // Locking order: Agent.statusMu, then one of executor.mu and fleet.mu, then
-// serverState.mu (only under statusMu or executor.mu). entryHandler.mu may be taken
+// serverState.mu (only under statusMu, executor.mu or serverRecorder.mu). entryHandler.mu may be taken
 // under the lock of a caller's connection (package caller). The other locks are taken
 // alone. No lock is held while sending on a link or
 // calling the store or the backend server.
@@ -116,6 +116,7 @@
 
 	tables     *tablesFollower
 	server     *serverState
+	recorder   *serverRecorder
 	fleet      *fleet
 	executor   *executor
 	dispatcher *dispatcher
@@ -156,7 +157,8 @@
 	a.tables = newTablesFollower(deps.Store, cfg.RevokeBound, cfg.Member, cfg.Zone)
 	a.tables.peers, a.tables.metrics = a, deps.Metrics
 	a.server = newServerState(cfg.HeartbeatInterval, cfg.ServerAddress)
-	a.server.service = cfg.Service
+	a.server.service, a.server.awaitsRecord = cfg.Service, true
+	a.recorder = newServerRecorder(deps.Store, cfg.Member, a.server, a.tables.era.Load)
 	a.server.warmUp, a.server.metrics = newWarmUpLimiter(cfg.HeartbeatInterval, cfg.WarmUp), deps.Metrics
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation, cfg.Tolerance)
 	exchanger := backend.NewExchanger(maxBodyBytes)
@@ -216,6 +218,7 @@
 	for _, loop := range []func(){
 		func() { a.tables.follow(a.ctx) }, func() { a.executor.expireQueued(a.ctx) },
 		a.receiveStatuses, a.sendStatuses, a.runPlanner, a.syncDirectory, a.preopenLinks, a.watchWarmUp, a.applyEvacuatedZones,
+		func() { a.recorder.run(a.ctx) },
 	} {
 		a.wg.Go(loop)
 	}
@@ -239,6 +242,7 @@
 		{"tarragon_members_usable", "Members whose backend servers accept attempts.", a.fleet.usableMembers},
 		{"tarragon_members_live", "Members, this one included, that take part in the fleet.", func() float64 { return float64(a.fleet.membersDigest(time.Now()).Count) }},
 		{"tarragon_status_left_out", "Entries of arrivals, runs and usage for which the last status was too long.", func() float64 { return float64(a.statusLeftOut.Load()) }},
+		{"tarragon_server_record_pending", "1 while the store lacks the newest start or the departure of the backend server.", a.recorder.pending},
 		{"tarragon_runs", "Attempts running or queued at this host.", func() float64 { return float64(a.executor.inProgress()) }},
 		{"tarragon_server_slowdown_percent", "How long work takes at the backend server, in percent of the normal time, 0 if it does not report it.", a.executor.slowdown},
 		{"tarragon_in_flight", "Requests from callers and from the backend server that this daemon is handling.", func() float64 { return float64(a.entry.inFlight.Load()) }},
@@ -287,23 +291,29 @@
 }
 
 // ApplyHeartbeat processes a heartbeat of the host's backend server. The error says
-// why the heartbeat is rejected.
-func (a *Agent) ApplyHeartbeat(heartbeat Heartbeat) error {
+// why the heartbeat is rejected. It wraps ErrNotRecorded if the heartbeat announces a
+// departure, which has taken effect but which a restart could forget.
+func (a *Agent) ApplyHeartbeat(ctx context.Context, heartbeat Heartbeat) error {
 	if c := a.tables.catalog(); c != nil && !c.HasService(heartbeat.Service) {
 		return eris.Errorf("service %q is not in the tables; publish it or correct the heartbeat", heartbeat.Service)
 	}
-	return a.server.applyHeartbeat(time.Now(), heartbeat)
+	if err := a.server.applyHeartbeat(time.Now(), heartbeat); err != nil || heartbeat.State != StateDraining {
+		return err
+	}
+	return a.recorder.await(ctx)
 }
 
 // DeregisterServer processes a backend server's notice that it is shutting down. started is
-// its start time in Unix milliseconds, 0 if unknown.
-func (a *Agent) DeregisterServer(server string, started int64) {
+// its start time in Unix milliseconds, 0 if unknown. The error is as for ApplyHeartbeat.
+func (a *Agent) DeregisterServer(ctx context.Context, server string, started int64) error {
 	a.server.deregister(time.Now(), server, started)
+	return a.recorder.await(ctx)
 }
 
 // serverChanged applies a new view of the backend server. If its id or state has
 // changed, the status is broadcast at once, ahead of the next interval.
 func (a *Agent) serverChanged(view ServerView) {
+	a.recorder.wake()
 	a.executor.applyServer(view)
 	a.statusMu.Lock()
 	changed := a.lastStatus.State != view.State || a.lastStatus.Server != view.Server
--- a/internal/process/agent/directory.go
+++ b/internal/process/agent/directory.go
@@ -58,11 +58,13 @@
 	return now.Sub(s.readAt) >= directoryInterval || s.readAt.Before(settled) && !now.Before(settled)
 }
 
-// epochStep returns by how much the epoch is raised after a write was fenced off: the
-// store has seen a greater epoch if the host's clock was stepped back between two starts.
-func (s *directorySync) epochStep() uint64 {
-	return firstEpochStep << min(s.fencedWrites, maxEpochDoublings)
-}
+// epochStep returns by how much the epoch is raised after another write was fenced off.
+func (s *directorySync) epochStep() uint64 { return epochStep(s.fencedWrites) }
+
+// epochStep returns by how much an epoch is raised after a write was fenced off, fenced
+// writes in a row before it: the store has seen a greater epoch if the host's clock was
+// stepped back between two starts.
+func epochStep(fenced int) uint64 { return firstEpochStep << min(fenced, maxEpochDoublings) }
 
 // syncDirectory keeps this daemon's record in the directory and reads the other members
 // from it, until the agent stops.
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -44,7 +44,19 @@
 	Zone   string
 }
 
-// Store gives access to the operators' publications and to the directory of daemons.
+// ServerRecord is what the store keeps of a host's backend server. The zero value: nothing is
+// known of it.
+type ServerRecord struct {
+	Server string
+	// Started is as in Heartbeat.
+	Started int64
+	// Leaving is true if this start of the server has announced that it is draining, or has
+	// deregistered.
+	Leaving bool
+}
+
+// Store gives access to the operators' publications, to the directory of daemons and to
+// the records of the hosts' backend servers.
 // Every call may be retried; an error leaves the outcome of a write unknown.
 type Store interface {
 	// Newest reads the newest published version.
@@ -62,6 +74,12 @@
 	Register(ctx context.Context, entry DirectoryEntry, epoch uint64) (era uint64, err error)
 	// Unregister removes a member from the directory. The epoch is as for Register.
 	Unregister(ctx context.Context, member string, epoch uint64) error
+	// ReadServer reads the record of a member's backend server, the zero value if there is
+	// none. The era is that of the response.
+	ReadServer(ctx context.Context, member string) (record ServerRecord, era uint64, err error)
+	// WriteServer replaces the record of a member's backend server. The epoch is as for
+	// Register.
+	WriteServer(ctx context.Context, member string, record ServerRecord, epoch uint64) (era uint64, err error)
 }
 
 // CallerFields holds the header fields of a caller's request that are meant for the
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -21,6 +21,11 @@
 	// refusedTime is how long a server that refused a connection gets no new work,
 	// unless it sends a heartbeat.
 	refusedTime = time.Second
+	// successorTime is for how long, in heartbeat intervals, heartbeats have to continue from a
+	// start that states an earlier start time than the last one, until they are taken for
+	// those of a new start whose clock was set back. Late heartbeats of a former start end
+	// sooner.
+	successorTime = maxMissedHeartbeats
 )
 
 // serverState tracks the host's backend server from its heartbeats and from refused
@@ -36,8 +41,15 @@
 	// suspected has an element if watchWarmUp has to be woken.
 	suspected chan struct{}
 
-	mu              sync.Mutex
-	last            Heartbeat
+	mu sync.Mutex
+	// awaitsRecord is true until the store's record of the server has been applied. Until
+	// then it is not known whether the server of a heartbeat has left.
+	awaitsRecord bool
+	last         Heartbeat
+	successor    successor
+	// superseded is the start that the last successor has followed. Its heartbeats may still
+	// arrive, and state a later start time.
+	superseded      ServerRecord
 	deregistered    bool
 	lastHeartbeatAt time.Time
 	warmUntil       time.Time
@@ -50,6 +62,14 @@
 	healthPath    string // of the service, if it limits cold servers
 }
 
+// successor is a start of a server that states an earlier start time than the last one, and
+// may follow it nevertheless.
+type successor struct {
+	server            string
+	started, sequence int64
+	since             time.Time // of the first heartbeat
+}
+
 // ServerView is the state of the backend server at one time.
 type ServerView struct {
 	Heartbeat                  // the last one; the field State hides its State
@@ -66,6 +86,37 @@
 // errOtherAddress rejects a heartbeat whose address is not the local backend server's.
 var errOtherAddress = eris.New("the heartbeat's address is not that of this host's backend server; send it to the daemon of its own host")
 
+// record returns what has to outlast this process.
+func (s *serverState) record() ServerRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last.Server == "" {
+		return ServerRecord{}
+	}
+	return ServerRecord{Server: s.last.Server, Started: s.last.Started, Leaving: s.deregistered || s.last.State == StateDraining}
+}
+
+// restore applies the store's record, which a former process of this daemon has written. A
+// later start that was heard of meanwhile takes precedence.
+func (s *serverState) restore(now time.Time, r ServerRecord) {
+	s.mu.Lock()
+	s.awaitsRecord = false
+	heard := s.last
+	sameStart := heard.Server == r.Server && heard.Started == r.Started
+	if r.Server != "" && (heard.Server == "" || sameStart || startsBefore(heard, Heartbeat{Server: r.Server, Started: r.Started})) {
+		if !sameStart {
+			s.last, s.lastHeartbeatAt, s.deregistered, s.drainingSince = Heartbeat{Server: r.Server, Started: r.Started}, time.Time{}, false, 0
+		}
+		if r.Leaving {
+			s.deregistered, s.last.State = true, StateDraining
+			s.markDraining()
+		}
+	}
+	view := s.viewLocked(now)
+	s.mu.Unlock()
+	s.onChange(view)
+}
+
 // applyHeartbeat applies a heartbeat. One that is older than the last, of an earlier
 // start or received out of order, changes nothing.
 func (s *serverState) applyHeartbeat(now time.Time, h Heartbeat) error {
@@ -73,10 +124,11 @@
 		return errOtherAddress
 	}
 	s.mu.Lock()
-	if s.stale(h) {
+	if s.stale(h) && !s.succeeds(now, h) {
 		s.mu.Unlock()
 		return nil
 	}
+	s.successor = successor{}
 	sameStart := h.Server == s.last.Server && h.Started == s.last.Started
 	if !sameStart {
 		s.deregistered, s.drainingSince = false, 0
@@ -123,16 +175,49 @@
 	switch {
 	case s.last.Server == "":
 		return false
-	case h.Server == s.last.Server && h.Started == 0 && s.last.Started != 0:
+	case h.Server == s.last.Server && h.Started == 0 && s.last.Started != 0, s.superseded == ServerRecord{Server: h.Server, Started: h.Started}:
 		return true
 	case h.Started != 0 && s.last.Started != 0 && h.Started != s.last.Started:
-		return h.Started < s.last.Started
+		return startsBefore(h, s.last)
 	case h.Server == s.last.Server:
 		return h.Sequence < s.last.Sequence
 	}
 	return false
 }
 
+// startsBefore reports whether h states an earlier start time than last. Without both start
+// times the order is not known.
+func startsBefore(h, last Heartbeat) bool {
+	return h.Started != 0 && last.Started != 0 && h.Started < last.Started
+}
+
+// succeeds reports whether a heartbeat that states an earlier start time than the last one
+// comes from a later start whose clock was set back: the last one is silent, and the
+// heartbeats of this one go on. The caller holds mu.
+func (s *serverState) succeeds(now time.Time, h Heartbeat) bool {
+	if !startsBefore(h, s.last) || s.awaitsRecord {
+		return false
+	}
+	c := &s.successor
+	if now.Sub(s.lastHeartbeatAt) <= maxMissedHeartbeats*s.heartbeatInterval {
+		*c = successor{}
+		return false
+	}
+	if c.server != h.Server || c.started != h.Started {
+		*c = successor{server: h.Server, started: h.Started, since: now}
+	}
+	if h.Sequence <= c.sequence {
+		return false
+	}
+	c.sequence = h.Sequence
+	if now.Sub(c.since) <= successorTime*s.heartbeatInterval {
+		return false
+	}
+	logging.WarningEvent("server", "start-time-set-back", "server", h.Server, "started", h.Started, "former", s.last.Server, "former_started", s.last.Started)
+	s.superseded = ServerRecord{Server: s.last.Server, Started: s.last.Started}
+	return true
+}
+
 // deregister records that the server with this id is shutting down. The notice of a
 // former server, or of a former start under the same id, is ignored.
 func (s *serverState) deregister(now time.Time, id string, started int64) {
@@ -183,6 +268,8 @@
 		v.State = wire.ServerAbsent
 	case s.deregistered || s.last.State == StateDraining:
 		v.State = wire.ServerDraining
+	case s.awaitsRecord:
+		v.State = wire.ServerAbsent
 	case now.Sub(s.lastHeartbeatAt) > maxMissedHeartbeats*s.heartbeatInterval:
 		v.State = wire.ServerAbsent
 	case now.Before(s.warmUntil):
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -95,6 +95,62 @@
 	}
 }
 
+// Guards against a daemon that starts again and takes a late heartbeat of a start that has
+// left, or that was replaced, for one of the present start; and against one that then
+// refuses a new start.
+func TestRecordOfAFormerProcess(t *testing.T) {
+	now := time.Now()
+	left, present := ServerRecord{Server: "a", Started: 5, Leaving: true}, ServerRecord{Server: "a", Started: 5}
+	beat := func(s *serverState, id string, started, sequence int64) {
+		_ = s.applyHeartbeat(now, testHeartbeat(id, started, sequence, StateReady))
+	}
+	for name, c := range map[string]struct {
+		events func(s *serverState)
+		want   wire.ServerState
+		record ServerRecord // afterwards
+	}{
+		"not read yet":           {func(s *serverState) { beat(s, "a", 5, 1) }, wire.ServerAbsent, present},
+		"none":                   {func(s *serverState) { s.restore(now, ServerRecord{}); beat(s, "a", 5, 1) }, wire.ServerReady, present},
+		"none, after heartbeat":  {func(s *serverState) { beat(s, "a", 5, 1); s.restore(now, ServerRecord{}) }, wire.ServerReady, present},
+		"present":                {func(s *serverState) { s.restore(now, present) }, wire.ServerAbsent, present},
+		"present, heartbeat":     {func(s *serverState) { s.restore(now, present); beat(s, "a", 5, 1) }, wire.ServerReady, present},
+		"left, late heartbeat":   {func(s *serverState) { s.restore(now, left); beat(s, "a", 5, 9) }, wire.ServerDraining, left},
+		"late heartbeat, left":   {func(s *serverState) { beat(s, "a", 5, 9); s.restore(now, left) }, wire.ServerDraining, left},
+		"heartbeat before left":  {func(s *serverState) { beat(s, "z", 4, 9); s.restore(now, left) }, wire.ServerDraining, left},
+		"left, earlier start":    {func(s *serverState) { s.restore(now, left); beat(s, "z", 4, 9) }, wire.ServerDraining, left},
+		"present, earlier start": {func(s *serverState) { s.restore(now, present); beat(s, "z", 4, 9) }, wire.ServerAbsent, present},
+		"left, another writer":   {func(s *serverState) { s.restore(now, left); beat(s, "a", 0, 99) }, wire.ServerDraining, left},
+		"left, new start":        {func(s *serverState) { s.restore(now, left); beat(s, "a", 6, 1) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}},
+		"new start, left":        {func(s *serverState) { beat(s, "a", 6, 1); s.restore(now, left) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}},
+		"left, other id":         {func(s *serverState) { s.restore(now, left); beat(s, "b", 6, 1) }, wire.ServerReady, ServerRecord{Server: "b", Started: 6}},
+		"left, release without start times": {func(s *serverState) { s.restore(now, left); beat(s, "b", 0, 1) }, wire.ServerReady,
+			ServerRecord{Server: "b"}},
+		"deregistered before the record is read": {func(s *serverState) { s.deregister(now, "a", 5); s.restore(now, present) }, wire.ServerDraining, left},
+		"start time set back": {func(s *serverState) {
+			s.restore(now, left)
+			for i := range int64(8) {
+				_ = s.applyHeartbeat(now.Add(-time.Duration(7-i)*heartbeatInterval), testHeartbeat("b", 3, i+1, StateReady))
+			}
+			beat(s, "a", 5, 9) // late
+		}, wire.ServerReady, ServerRecord{Server: "b", Started: 3}},
+		"late heartbeats of an earlier start": {func(s *serverState) {
+			s.restore(now, left)
+			for i := range int64(5) {
+				_ = s.applyHeartbeat(now.Add(-time.Duration(4-i)*heartbeatInterval), testHeartbeat("z", 3, i+1, StateReady))
+			}
+		}, wire.ServerDraining, left},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newServerState(heartbeatInterval, ownAddress)
+			s.awaitsRecord = true
+			c.events(s)
+			g.Expect(s.view(now).State).To(Equal(c.want))
+			g.Expect(s.record()).To(Equal(c.record))
+		})
+	}
+}
+
 // Guards against heartbeats that reach the wrong daemon: the address of a backend
 // server that has ended may be reused by another host's server.
 func TestHeartbeatOfAnotherAddressIsRejected(t *testing.T) {
