agent, shedding: no daemon hangs in the computation of the plan

All three daemons hung for good, and 70 to 115 requests for the other service got no answer.

Cause: three faults. The plan followed each path through the call graph on its own, and ten routes that call each other have 10 to the power of 10 paths. Requests of callers on open routes were counted as calls of the server beside the daemon. And the plan was computed with the lock of the fleet, which every request needs, by all daemons from the same reports.

The number of calls followed in one computation is bounded, and a pause follows in proportion to its duration. The plan and the shares of the zones are computed without a lock, and the rates of the workspaces are updated a few at a time. Calls are fitted between a bounded number of routes. A request without a key that expires later than every run is no call, since calls expire with their runs.

Why it works: nothing whose cost depends on the configuration or the call graph holds a lock that requests wait for, and each such step is bounded.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -134,6 +134,7 @@
 	lastStatus     wire.Status // the last one sent; its rates are repeated until an interval ends
 	leaving        atomic.Bool
 	statusLeftOut  atomic.Int64 // entries that the last status was too long for
+	planTook       atomic.Int64 // duration of the last computation of the plan, in nanoseconds
 	// directoryEpoch is the epoch of this daemon's next write to the directory.
 	directoryEpoch atomic.Uint64
 	// unlisted has an element if a member has found that the directory lacks this daemon.
@@ -252,6 +253,7 @@
 			}
 			return 0
 		}},
+		{"tarragon_plan_seconds", "Duration of the last computation of the shedding plan and the rate shares.", func() float64 { return time.Duration(a.planTook.Load()).Seconds() }},
 		{"tarragon_least_share", "Smallest share that the shedding plan admits of the requests of a route and importance.", a.fleet.leastShare},
 	} {
 		if err := a.deps.Metrics.RegisterGauge(gauge.name, gauge.description, gauge.read); err != nil {
@@ -372,13 +374,21 @@
 // runPlanner computes the shedding plan and the rate shares at intervals until the
 // agent stops.
 func (a *Agent) runPlanner() {
-	runEvery(a.ctx, planInterval, func() {
+	wait := planInterval
+	for pause(a.ctx, wait); a.ctx.Err() == nil; pause(a.ctx, wait) {
+		begun := time.Now()
 		if c := a.tables.catalog(); c != nil {
-			a.fleet.replan(time.Now(), c)
+			a.fleet.replan(begun, c)
 		}
-	})
+		took := time.Since(begun)
+		a.planTook.Store(int64(took))
+		wait = planPause(took)
+	}
 }
 
+// planPause returns the pause after a computation of the plan.
+func planPause(took time.Duration) time.Duration { return max(planInterval-took, planRest*took) }
+
 // runEvery calls do once per interval until ctx is cancelled.
 func runEvery(ctx context.Context, interval time.Duration, do func()) {
 	ticker := time.NewTicker(interval)
--- a/internal/process/agent/entry.go
+++ b/internal/process/agent/entry.go
@@ -272,7 +272,11 @@
 // without a key, on open routes and where the tables have no workspaces.
 func (e *entryHandler) admit(req *inboundRequest, c *catalog.Catalog) *problem.Problem {
 	if req.workspace == "" {
-		if parent, known := e.executor.countCall(req.fields.RequestID, req.route.Name); known {
+		var deadline time.Time
+		if req.fields.Deadline > 0 {
+			deadline = req.statedDeadline()
+		}
+		if parent, known := e.executor.countCall(req.fields.RequestID, req.route.Name, deadline); known {
 			req.inherit(parent)
 		}
 		return e.checkStop(req)
--- a/internal/process/agent/executor.go
+++ b/internal/process/agent/executor.go
@@ -33,6 +33,10 @@
 	// callDeadlineSlack is by how much the deadline of a call may lie after that of its
 	// run, since both are rounded and measured from the arrival at the daemon.
 	callDeadlineSlack = 100 * time.Millisecond
+	// lateCallSlack is the slack for a request to be counted as a call. It is greater, since
+	// a server that is busy makes its calls late, and a call that is not counted is missing in
+	// the shedding plan.
+	lateCallSlack = 500 * time.Millisecond
 	// briefRetryAfter is the Retry-After of a refusal whose cause is short-lived.
 	briefRetryAfter = 300 * time.Millisecond
 	// queueRetryAfter is the Retry-After of a refusal by the queue.
@@ -88,13 +92,15 @@
 	// callsAttributed is true once the id of a call has named the run that made it,
 	// callsUnattributed once the local backend server has made a call whose run is unknown.
 	callsAttributed, callsUnattributed bool
-	callEstimator                      *shedding.CallEstimator
-	loadNumber                         uint64
-	draining                           bool
-	speed                              serverspeed.Speed
-	returnLines                        *logging.Limiter
-	lastResponse                       time.Time // when a run last ended with a response
-	evacuated                          bool      // the own zone is evacuated
+	// latestDeadline is the latest deadline of the runs that have started.
+	latestDeadline time.Time
+	callEstimator  *shedding.CallEstimator
+	loadNumber     uint64
+	draining       bool
+	speed          serverspeed.Speed
+	returnLines    *logging.Limiter
+	lastResponse   time.Time // when a run last ended with a response
+	evacuated      bool      // the own zone is evacuated
 	// zoneRefusal returns the refusal by the newest state of the own zone, which
 	// setEvacuated puts into effect a little later, or nil.
 	zoneRefusal func() *problem.Problem
@@ -174,6 +180,9 @@
 	for _, id := range actions.Start {
 		if r, ok := e.runs[id]; ok {
 			r.started = time.Now()
+			if r.deadline.After(e.latestDeadline) {
+				e.latestDeadline = r.deadline
+			}
 			e.startedByRequest[r.attempt.RequestID] = r
 			start = append(start, r)
 		}
@@ -568,10 +577,15 @@
 
 // countCall counts a call made by the local backend server. If the call's id names the
 // run in progress that made it, countCall returns what the call inherits from that run.
-func (e *executor) countCall(requestID, route string) (parentRun inherited, known bool) {
+// Otherwise a request that states a deadline after those of all runs is one of a caller, since
+// a call expires with its run; it is not counted. The deadline is zero if none is stated.
+func (e *executor) countCall(requestID, route string, deadline time.Time) (parentRun inherited, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	parent := e.startedByRequest[e.protocol.ParentID(requestID)]
+	if parent == nil && deadline.After(e.latestDeadline.Add(lateCallSlack)) {
+		return inherited{}, false
+	}
 	if parent == nil {
 		e.callsUnattributed = true
 		e.callEstimator.RecordUnattributedCall(route)
--- a/internal/process/agent/executor_test.go
+++ b/internal/process/agent/executor_test.go
@@ -33,17 +33,39 @@
 	important := &run{attempt: &wire.Attempt{RequestID: "root", Route: "order", Context: wire.Context{Importance: 8, CallerWorkspace: "w"}}, objective: time.Now()}
 	e.startedByRequest["root"] = important
 	for _, id := range []string{"other", "other.1", "root", ".", ""} {
-		_, known := e.countCall(id, "ledger")
+		_, known := e.countCall(id, "ledger", time.Time{})
 		g.Expect(known).To(BeFalse(), id)
 	}
 	for range 2 {
-		parent, known := e.countCall("root.1", "ledger")
+		parent, known := e.countCall("root.1", "ledger", time.Time{})
 		g.Expect(known).To(BeTrue())
 		g.Expect(parent).To(Equal(inherited{importance: 8, depth: 1, workspace: "w", objective: important.objective}))
 	}
 	g.Expect(important.calls).To(Equal(map[string]int{"ledger": 2}))
 }
 
+// Guards against requests of callers on open routes that are counted as calls of the local
+// backend server: while it was slow, each route seemed to call each other one (review/6).
+func TestRequestsThatExpireAfterAllRunsAreNoCalls(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	e := newExecutor(dottedIDs{}, newServerState(heartbeatInterval, ownAddress), nil, nil, nil)
+	counted := func(deadline time.Time) bool {
+		e.callsUnattributed = false
+		e.countCall("r", "open", deadline)
+		return e.callsUnattributed
+	}
+	g.Expect(counted(now.Add(time.Second))).To(BeFalse(), "nothing has run")
+	e.latestDeadline = now.Add(time.Second)
+	g.Expect(counted(now.Add(2500 * time.Millisecond))).To(BeFalse())
+	g.Expect(counted(now.Add(time.Second))).To(BeTrue())
+	g.Expect(counted(now.Add(1100*time.Millisecond))).To(BeTrue(), "a call that was made late")
+	g.Expect(counted(time.Time{})).To(BeTrue(), "the deadline is not known")
+	e.startedByRequest["root"] = &run{attempt: &wire.Attempt{RequestID: "root"}}
+	_, known := e.countCall("root.1", "open", now.Add(time.Minute))
+	g.Expect(known).To(BeTrue(), "its id names the run")
+}
+
 // A call gets the earlier of two objectives. Guards against one that has passed being taken
 // for none, so that late work would be ordered before work in time.
 func TestCallsInheritTheEarlierObjective(t *testing.T) {
@@ -91,7 +113,7 @@
 	broken := &wire.Answer{Response: &wire.Response{Status: 500}}
 	leafRun, callingRun := &run{}, &run{calls: map[string]int{"ledger": 1}}
 	g.Expect(e.isServerFailure(leafRun, broken)).To(BeTrue(), "the server makes no calls")
-	e.countCall("unknown", "ledger")
+	e.countCall("unknown", "ledger", time.Time{})
 	g.Expect(e.isServerFailure(leafRun, broken)).To(BeFalse(), "the runs of its calls are not known")
 	e.callsAttributed = true
 	g.Expect(e.isServerFailure(leafRun, broken)).To(BeTrue())
--- a/internal/process/agent/fleet.go
+++ b/internal/process/agent/fleet.go
@@ -384,10 +384,10 @@
 
 // pruneArrivals drops the arrival rates of routes that are not in the new tables.
 func (f *fleet) pruneArrivals(c *catalog.Catalog) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	known := map[string]bool{}
 	c.EachRoute(func(r *catalog.Route) { known[r.Name] = true })
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for a := range f.arrivals {
 		if !known[a.route] {
 			delete(f.arrivals, a)
--- a/internal/process/agent/plan.go
+++ b/internal/process/agent/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
@@ -19,6 +20,13 @@
 	// minArrivalRate is the rate, in requests per second, below which arrivals are not
 	// reported.
 	minArrivalRate = 0.02
+	// reconcileBatch is the number of members' reports on workspaces that are reconciled at
+	// a time. Requests wait meanwhile.
+	reconcileBatch = 4096
+	// planRest is the least pause after a computation of the plan, as a multiple of its
+	// duration, so that a large configuration or call graph delays the plan and leaves the
+	// processor to requests.
+	planRest = 4
 )
 
 // admit counts a caller's request and decides whether the services that it needs,
@@ -75,42 +83,82 @@
 	return arrivals, f.limiter.Report(interval)
 }
 
-// replan computes the shedding plan, the shares of the zones and the rate shares from the latest statuses.
+// planInput is what the members have reported.
+type planInput struct {
+	reports []shedding.Report
+	byZone  []zonespill.Report
+	members []rateshare.Member
+}
+
+// replan computes the shedding plan, the shares of the zones and the rate shares from the
+// latest statuses. It is called by one goroutine at a time. What takes time in proportion to
+// the configuration or the call graph is computed without the lock, which requests wait for.
 func (f *fleet) replan(now time.Time, c *catalog.Catalog) {
+	begun := time.Now()
+	input := f.planInput(now)
+	result := f.plan.Compute(input.reports, c.TrafficSplit)
+	zones := f.zones.plan.Compute(input.byZone, result.Share, c.TrafficSplit)
+	f.applyPlan(now, result, zones)
+	f.reconcileRates(func() time.Time { return now.Add(time.Since(begun)) }, input.members, c)
+}
+
+// planInput refreshes the members and returns their reports, which do not change.
+func (f *fleet) planInput(now time.Time) planInput {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refreshUsable(now)
-	var reports []shedding.Report
-	var members []rateshare.Member
-	var byZone []zonespill.Report
+	var input planInput
 	for _, m := range f.members {
 		if !m.lastStatusAt.IsZero() && now.Sub(m.lastStatusAt) <= statusTimeout {
 			report := reportOf(m, now)
-			reports = append(reports, report)
-			byZone = append(byZone, zonespill.Report{Zone: m.status.Zone, Report: report})
+			input.reports = append(input.reports, report)
+			input.byZone = append(input.byZone, zonespill.Report{Zone: m.status.Zone, Report: report})
 		}
 		if !m.self && f.mayServe(now, m) {
-			members = append(members, usageOf(m, now))
+			input.members = append(input.members, usageOf(m, now))
 		}
 	}
-	f.plan.Update(reports, c.TrafficSplit)
+	return input
+}
+
+// applyPlan puts the results of a computation in force.
+func (f *fleet) applyPlan(now time.Time, result *shedding.Result, zones *zonespill.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plan.Apply(result)
 	f.logPlan(now)
 	f.feedback.log(now)
-	f.zones.update(now, byZone, f.plan.Share, c.TrafficSplit)
+	f.zones.apply(now, zones)
 	for service, table := range f.placements {
 		table.SetShares(f.zones.sharesOf(service))
 	}
-	f.limiter.Reconcile(now, members, func(workspace string) rateshare.Limit { return limitOf(c, workspace) })
+}
+
+// reconcileRates updates the rates of the workspaces, a few at a time.
+func (f *fleet) reconcileRates(now func() time.Time, members []rateshare.Member, c *catalog.Catalog) {
+	reported := rateshare.Reported(members)
+	f.mu.Lock()
+	workspaces := f.limiter.Workspaces(reported)
+	f.mu.Unlock()
+	limit := func(workspace string) rateshare.Limit { return limitOf(c, workspace) }
+	for batch := range slices.Chunk(workspaces, max(1, reconcileBatch/(len(members)+1))) {
+		f.mu.Lock()
+		f.limiter.ReconcileSome(now(), members, batch, limit)
+		f.mu.Unlock()
+	}
 }
 
 // logPlan logs the services that the plan sheds requests for, at most once per
 // planLogInterval. The caller holds mu.
 func (f *fleet) logPlan(now time.Time) {
-	bottlenecks := f.plan.Bottlenecks()
-	if len(bottlenecks) == 0 || now.Sub(f.planLoggedAt) < planLogInterval {
+	bottlenecks, cut := f.plan.Bottlenecks(), f.plan.CutTrees()
+	if len(bottlenecks) == 0 && cut == 0 || now.Sub(f.planLoggedAt) < planLogInterval {
 		return
 	}
 	f.planLoggedAt = now
+	if cut > 0 {
+		logging.WarningEvent("plan", "trees-cut", "routes", cut)
+	}
 	for _, b := range bottlenecks {
 		logging.InfoEvent("plan", "shedding", "service", b.Service, "capacity", int(b.Capacity), "running", int(b.Running),
 			"demand", int(b.Demand), "planned", int(b.Planned), "wait_ms", b.QueueTime.Milliseconds(),
--- a/internal/process/agent/zones.go
+++ b/internal/process/agent/zones.go
@@ -9,7 +9,6 @@
 	"tarragonshore.example/tarragonshore/internal/connection/wire"
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 	"tarragonshore.example/tarragonshore/internal/request/placement"
-	"tarragonshore.example/tarragonshore/internal/request/shedding"
 	"tarragonshore.example/tarragonshore/internal/request/zonespill"
 )
 
@@ -40,9 +39,9 @@
 	}
 }
 
-// update computes the shares from the members' reports.
-func (z *zoneTraffic) update(now time.Time, reports []zonespill.Report, admitted func(string, uint8) float64, split shedding.TrafficSplit) {
-	z.plan.Update(reports, admitted, split)
+// apply puts shares in force that plan.Compute has computed.
+func (z *zoneTraffic) apply(now time.Time, result *zonespill.Result) {
+	z.plan.Apply(result)
 	for service, mix := range z.mixes {
 		if !z.plan.Has(service) {
 			delete(z.mixes, service)
--- a/internal/process/rateshare/reconcile.go
+++ b/internal/process/rateshare/reconcile.go
@@ -2,23 +2,48 @@
 
 import "time"
 
-// Reconcile updates the buckets with the reports of the other daemons and recomputes
-// this daemon's share of each.
-func (l *Limiter) Reconcile(now time.Time, members []Member, limit func(workspace string) Limit) {
+// Reported returns the workspaces in the reports of other daemons.
+func Reported(members []Member) map[string]bool {
+	workspaces := map[string]bool{}
 	for _, m := range members {
 		for workspace := range m.Usage {
-			if l.buckets[workspace] == nil {
-				l.bucket(now, workspace, limit(workspace), len(members)+1)
-			}
+			workspaces[workspace] = true
+		}
+	}
+	return workspaces
+}
+
+// Workspaces returns the workspaces with a bucket and the given others.
+func (l *Limiter) Workspaces(others map[string]bool) []string {
+	list := make([]string, 0, len(l.buckets)+len(others))
+	for workspace := range l.buckets {
+		list = append(list, workspace)
+	}
+	for workspace := range others {
+		if l.buckets[workspace] == nil {
+			list = append(list, workspace)
 		}
 	}
+	return list
+}
+
+// Reconcile updates all buckets with the reports of the other daemons and recomputes this
+// daemon's share of each.
+func (l *Limiter) Reconcile(now time.Time, members []Member, limit func(workspace string) Limit) {
+	l.ReconcileSome(now, members, l.Workspaces(Reported(members)), limit)
+}
+
+// ReconcileSome is Reconcile for the buckets of some workspaces, which do not depend on each
+// other, so that a caller that holds a lock can release it in between.
+func (l *Limiter) ReconcileSome(now time.Time, members []Member, workspaces []string, limit func(workspace string) Limit) {
 	demands := make([]float64, len(members))
 	lasts := make([]*memberReport, len(members))
 	indexes := make([]int, len(members))
 	for i, m := range members {
 		indexes[i] = l.indexOf(m.Name)
 	}
-	for workspace, b := range l.buckets {
+	for _, workspace := range workspaces {
+		b := l.bucket(now, workspace, limit(workspace), len(members)+1)
 		b.limit = limit(workspace)
 		if missing := len(l.indexes) - len(b.reports); missing > 0 {
 			b.reports = append(b.reports, make([]memberReport, missing)...)
--- a/internal/request/shedding/allocate.go
+++ b/internal/request/shedding/allocate.go
@@ -30,32 +30,33 @@
 	}
 }
 
-// allocate divides the capacity budget of a service between the request classes:
-// each importance first gets the floor share of its demand, and the rest goes to
-// the most important ones. costs holds the slot-seconds per request, by route, then
-// by service. It returns the admitted share of every class that cannot be admitted in
-// full, and the total demand.
-func (p *Plan) allocate(budget float64, arrivals map[class]float64, costs map[string]map[string]float64, service string) (shares map[class]float64, total float64) {
-	demand := map[uint8]float64{}
-	for c, rate := range arrivals {
-		load := rate * costs[c.route][service]
-		demand[c.importance] += load
+// classLoad is the load that a class of requests puts on one service.
+type classLoad struct {
+	class
+	rate float64 // requests per second
+	cost float64 // slot-seconds per request
+}
+
+// allocate divides the capacity budget of a service between the classes of requests that
+// need it: each importance first gets the floor share of its demand, and the rest goes to
+// the most important ones. It returns the admitted share of every class that cannot be
+// admitted in full, and the total demand.
+func (p *Plan) allocate(budget float64, loads []classLoad) (shares map[class]float64, total float64) {
+	demand, rates := map[uint8]float64{}, map[uint8]float64{}
+	for _, l := range loads {
+		load := l.rate * l.cost
+		demand[l.importance] += load
+		rates[l.importance] += l.rate
 		total += load
 	}
 	if total <= budget {
 		return nil, total
 	}
-	rates := map[uint8]float64{}
-	for c, rate := range arrivals {
-		if costs[c.route][service] > 0 {
-			rates[c.importance] += rate
-		}
-	}
 	granted := Divide(budget, demand, rates, p.options.Floor)
 	shares = map[class]float64{}
-	for c := range arrivals {
-		if share := granted[c.importance]; share < 1 && costs[c.route][service] > 0 {
-			shares[c] = share
+	for _, l := range loads {
+		if share := granted[l.importance]; share < 1 {
+			shares[l.class] = share
 		}
 	}
 	return shares, total
--- a/internal/request/shedding/call_estimator.go
+++ b/internal/request/shedding/call_estimator.go
@@ -1,6 +1,8 @@
 package shedding
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -16,8 +18,15 @@
 	// minCallsPerRun is the number of calls per run below which a called route is
 	// not reported.
 	minCallsPerRun = 0.05
-	// maxReportedRoutes bounds the routes in a report, so that it fits in a datagram.
+	// maxReportedRoutes bounds the routes in a report, maxReportedCalls the calls of each, so
+	// that it fits in a datagram.
 	maxReportedRoutes = 24
+	maxReportedCalls  = 24
+	// maxFittedRoutes bounds the routes of runs, and those of calls, between which calls are
+	// fitted: each is fitted to each.
+	maxFittedRoutes = 48
+	// idleRate is the rate, per second, below which a route is forgotten.
+	idleRate = 1e-4
 )
 
 // Rate is a smoothed rate of events.
@@ -138,32 +147,67 @@
 func (e *CallEstimator) Tick(interval time.Duration) {
 	e.runsEnded.Tick(interval)
 	e.runsFailed.Tick(interval)
+	e.tickRates(interval)
 	norm := 0.0
 	for _, r := range e.runs {
-		x := r.Tick(interval)
-		norm += x * x
+		norm += r.PerSecond() * r.PerSecond()
 	}
-	for called, r := range e.calls {
-		y := r.Tick(interval)
+	if norm < minRate {
+		return
+	}
+	runs, calls := busiest(e.runs), busiest(e.calls)
+	maps.DeleteFunc(e.fittedCalls, func(called string, _ map[string]float64) bool { return !slices.Contains(calls, called) })
+	for _, called := range calls {
 		fittedCalls := e.fittedCalls[called]
 		if fittedCalls == nil {
 			fittedCalls = make(map[string]float64)
 			e.fittedCalls[called] = fittedCalls
 		}
-		if norm < minRate {
-			continue
+		if len(fittedCalls) > maxFittedRoutes {
+			maps.DeleteFunc(fittedCalls, func(route string, _ float64) bool { return !slices.Contains(runs, route) })
 		}
 		predicted := 0.0
-		for route, n := range fittedCalls {
-			predicted += n * e.runs[route].PerSecond()
+		for _, route := range runs {
+			predicted += fittedCalls[route] * e.runs[route].PerSecond()
 		}
-		for route, x := range e.runs {
-			n := fittedCalls[route] + fitStepSize*(y-predicted)*x.PerSecond()/norm
+		for _, route := range runs {
+			n := fittedCalls[route] + fitStepSize*(e.calls[called].PerSecond()-predicted)*e.runs[route].PerSecond()/norm
 			fittedCalls[route] = max(0, n)
 		}
 	}
 }
 
+// tickRates ends an interval of the rates of runs and calls, and forgets idle routes.
+func (e *CallEstimator) tickRates(interval time.Duration) {
+	for route, r := range e.runs {
+		if r.Tick(interval) < idleRate {
+			delete(e.runs, route)
+			delete(e.serviceTime, route)
+			for _, fittedCalls := range e.fittedCalls {
+				delete(fittedCalls, route)
+			}
+		}
+	}
+	for called, r := range e.calls {
+		if r.Tick(interval) < idleRate {
+			delete(e.calls, called)
+			delete(e.fittedCalls, called)
+		}
+	}
+}
+
+// busiest returns the routes with the highest rates, at most maxFittedRoutes.
+func busiest(rates map[string]*Rate) []string {
+	routes := slices.Collect(maps.Keys(rates))
+	if len(routes) <= maxFittedRoutes {
+		return routes
+	}
+	slices.SortFunc(routes, func(a, b string) int {
+		return cmp.Or(descending(rates[a].PerSecond(), rates[b].PerSecond()), cmp.Compare(a, b))
+	})
+	return routes[:maxFittedRoutes]
+}
+
 // Report describes the routes with the most runs, at most maxReportedRoutes, in
 // descending order of rate.
 func (e *CallEstimator) Report() []RunReport {
@@ -172,12 +216,16 @@
 		if r.PerSecond() < minRate {
 			continue
 		}
-		report := RunReport{Route: route, Rate: r.PerSecond(), ServiceTime: e.serviceTime[route]}
-		report.Calls = e.callsPerRun(route)
-		reports = append(reports, report)
+		reports = append(reports, RunReport{Route: route, Rate: r.PerSecond(), ServiceTime: e.serviceTime[route]})
 	}
 	slices.SortFunc(reports, func(a, b RunReport) int { return descending(a.Rate, b.Rate) })
-	return reports[:min(len(reports), maxReportedRoutes)]
+	reports = reports[:min(len(reports), maxReportedRoutes)]
+	for i := range reports {
+		calls := e.callsPerRun(reports[i].Route)
+		slices.SortFunc(calls, func(a, b Calls) int { return cmp.Or(descending(a.PerRun, b.PerRun), cmp.Compare(a.Route, b.Route)) })
+		reports[i].Calls = calls[:min(len(calls), maxReportedCalls)]
+	}
+	return reports
 }
 
 // callsPerRun returns the calls per run of a route: the measured ones if there are
--- a/internal/request/shedding/shedding.go
+++ b/internal/request/shedding/shedding.go
@@ -24,7 +24,11 @@
 // and they do not count as load; requests that make a single call to that service
 // are still admitted.
 //
-// The types are pure state machines and not safe for concurrent use.
+// The cost of a plan grows with the routes and with the calls between them that the reports
+// show, also if they are wrong: a slow server can make each route seem to call each other.
+// It is bounded, and Compute needs no lock.
+//
+// The types are pure state machines and, apart from Compute, not safe for concurrent use.
 package shedding
 
 import (
@@ -113,11 +117,6 @@
 var DefaultOptions = Options{Target: 0.95, Floor: 0.35, WaitTarget: 30 * time.Millisecond}
 
 const (
-	// maxDepth bounds the depth to which a call tree is expanded.
-	maxDepth = 10
-	// minVisits is the number of visits per request below which a branch of a call
-	// tree is not expanded.
-	minVisits = 0.01
 	// minRuns is the number of runs per request at a service from which on the request
 	// counts as needing the service.
 	minRuns = 0.1
@@ -170,10 +169,20 @@
 
 // Plan holds the admitted share of every class of requests.
 type Plan struct {
-	bottlenecks []Bottleneck
-	options     Options
-	// correction holds the factor applied to the capacity of each service.
+	options Options
+	// correction holds the factor applied to the capacity of each service. Only Compute
+	// uses it.
 	correction map[string]float64
+	// Result is the one that was applied last.
+	Result
+	// admissionCredit accumulates the admitted share at every request of a class
+	// and is spent on each admission, which spaces admissions evenly.
+	admissionCredit map[class]float64
+}
+
+// Result is what Compute has computed from the reports. It does not change.
+type Result struct {
+	bottlenecks []Bottleneck
 	// shares holds the admitted share of each class that is not admitted in full, and
 	// bottleneckOf the service that limits it.
 	shares       map[class]float64
@@ -190,14 +199,13 @@
 	// direct holds the rate of callers' requests for each service, runs the rate of all
 	// its runs, both per second.
 	direct, runs map[string]float64
-	// admissionCredit accumulates the admitted share at every request of a class
-	// and is spent on each admission, which spaces admissions evenly.
-	admissionCredit map[class]float64
+	// cutTrees is the number of routes whose trees lack their deepest levels.
+	cutTrees int
 }
 
 // NewPlan returns a plan that admits everything.
 func NewPlan(options Options) *Plan {
-	return &Plan{options: options, correction: map[string]float64{}, shares: map[class]float64{}, admissionCredit: map[class]float64{}}
+	return &Plan{options: options, correction: map[string]float64{}, Result: Result{shares: map[class]float64{}}, admissionCredit: map[class]float64{}}
 }
 
 // Admit decides whether one request is admitted. If it is refused, service names
@@ -218,42 +226,42 @@
 
 // CallsOthers reports whether runs at a service call other services. It returns true
 // for every service while no calls have been reported.
-func (p *Plan) CallsOthers(service string) bool {
-	return p.callsOthers[service] || len(p.callsOthers) == 0
+func (r *Result) CallsOthers(service string) bool {
+	return r.callsOthers[service] || len(r.callsOthers) == 0
 }
 
 // Depth returns the number of services on the longest call path, 0 if none is
 // known.
-func (p *Plan) Depth() int { return p.depth }
+func (r *Result) Depth() int { return r.depth }
 
 // Services returns the services that a request of a route needs, directly or through the
 // calls it causes, as far as they are known. The caller must not change the result.
-func (p *Plan) Services(route string) []string { return p.services[route] }
+func (r *Result) Services(route string) []string { return r.services[route] }
 
 // RequestRates returns, per second, the rate of callers' requests for a service, admitted
 // or not, and the rate of its other runs, which serve calls of other services.
-func (p *Plan) RequestRates(service string) (direct, internal float64) {
-	direct = p.direct[service]
-	return direct, max(0, p.runs[service]-direct)
+func (r *Result) RequestRates(service string) (direct, internal float64) {
+	direct = r.direct[service]
+	return direct, max(0, r.runs[service]-direct)
 }
 
 // Infeasible reports whether a route's requests are refused because a service behind
 // it fails too many calls, rather than for lack of capacity.
-func (p *Plan) Infeasible(route string) bool {
-	_, found := p.infeasible[route]
+func (r *Result) Infeasible(route string) bool {
+	_, found := r.infeasible[route]
 	return found
 }
 
 // Share returns the admitted share of a route's requests of one importance.
-func (p *Plan) Share(route string, importance uint8) float64 {
-	if share, limited := p.shares[class{route, importance}]; limited {
+func (r *Result) Share(route string, importance uint8) float64 {
+	if share, limited := r.shares[class{route, importance}]; limited {
 		return share
 	}
 	return 1
 }
 
 // LeastShare returns the smallest admitted share of any class of requests.
-func (p *Plan) LeastShare() float64 { return least(p.shares) }
+func (r *Result) LeastShare() float64 { return least(r.shares) }
 
 func least(shares map[class]float64) float64 {
 	least := 1.0
@@ -264,7 +272,7 @@
 }
 
 // Bottlenecks returns the services whose demand exceeds their planned capacity.
-func (p *Plan) Bottlenecks() []Bottleneck { return p.bottlenecks }
+func (r *Result) Bottlenecks() []Bottleneck { return r.bottlenecks }
 
 // serviceState aggregates the reports about one service.
 type serviceState struct {
@@ -283,68 +291,93 @@
 	calls       map[string]float64 // calls per run, weighted by rate
 }
 
-// Update computes the plan from the newest reports of all daemons.
+// CutTrees returns the number of routes whose call trees lack their deepest levels, since
+// the reported call graph has too many calls.
+func (r *Result) CutTrees() int { return r.cutTrees }
+
+// Update computes the plan from the newest reports of all daemons and puts it in force.
 func (p *Plan) Update(reports []Report, trafficSplit TrafficSplit) {
+	p.Apply(p.Compute(reports, trafficSplit))
+}
+
+// Apply puts a result in force.
+func (p *Plan) Apply(result *Result) {
+	p.Result = *result
+	for c := range p.admissionCredit {
+		if _, limited := p.shares[c]; !limited {
+			delete(p.admissionCredit, c)
+		}
+	}
+}
+
+// Compute computes the plan from the newest reports of all daemons, without putting it in
+// force. Its cost grows with the configuration and the call graph. It may run while other
+// methods are called, but not twice at a time.
+func (p *Plan) Compute(reports []Report, trafficSplit TrafficSplit) *Result {
 	services := summarize(reports)
 	arrivals := map[class]float64{}
+	routes := map[string]bool{}
 	for _, report := range reports {
 		for _, a := range report.Arrivals {
 			arrivals[class{a.Route, a.Importance}] += a.Rate
+			routes[a.Route] = true
 		}
 	}
-	costs := map[string]map[string]float64{} // by route, then by service
-	p.infeasible = map[string]string{}
-	p.callsOthers, p.depth, p.services = map[string]bool{}, 0, map[string][]string{}
-	p.direct, p.runs = map[string]float64{}, map[string]float64{}
+	r := &Result{
+		shares: map[class]float64{}, bottleneckOf: map[class]string{}, infeasible: map[string]string{},
+		services: make(map[string][]string, len(routes)), direct: map[string]float64{}, runs: map[string]float64{},
+	}
 	for name, service := range services {
 		for _, run := range service.runs {
-			p.runs[name] += run.rate
+			r.runs[name] += run.rate
+		}
+	}
+	costs := make(map[string]map[string]float64, len(routes)) // by route, then by service
+	trees := newExpander(newCallGraph(services, trafficSplit), len(routes))
+	for route := range routes {
+		t := trees.expand(route)
+		costs[route] = t.costs
+		r.services[route] = needed(t.runs)
+		r.depth = max(r.depth, t.depth)
+		if t.successProbability < minSuccessProbability {
+			r.infeasible[route] = t.worstService
+		}
+		if t.cut {
+			r.cutTrees++
 		}
 	}
+	r.callsOthers = trees.callsOthers
+	loads := map[string][]classLoad{} // by service
 	for c, rate := range arrivals {
 		for _, share := range trafficSplit(c.route) {
-			p.direct[share.Service] += share.Fraction * rate
+			r.direct[share.Service] += share.Fraction * rate
 		}
-		if costs[c.route] == nil {
-			costs[c.route] = map[string]float64{}
-			runs := map[string]float64{}
-			t := p.expand(services, trafficSplit, c.route, 1, 0, costs[c.route], runs)
-			p.services[c.route] = needed(runs)
-			p.depth = max(p.depth, t.depth)
-			if t.successProbability < minSuccessProbability {
-				p.infeasible[c.route] = t.worstService
-			}
+		if service, found := r.infeasible[c.route]; found {
+			r.shares[c], r.bottleneckOf[c] = probeShare, service
+			continue
 		}
-	}
-	shares, bottleneckOf := map[class]float64{}, map[class]string{}
-	for c := range arrivals {
-		if service, found := p.infeasible[c.route]; found {
-			shares[c], bottleneckOf[c] = probeShare, service
-			delete(arrivals, c)
+		for service, cost := range costs[c.route] {
+			if cost > 0 {
+				loads[service] = append(loads[service], classLoad{c, rate, cost})
+			}
 		}
 	}
 	p.adjustCorrections(services)
-	p.bottlenecks = p.bottlenecks[:0]
 	for name, service := range services {
 		budget := service.capacity * p.options.Target * p.correction[name]
-		allotted, demand := p.allocate(budget, arrivals, costs, name)
+		allotted, demand := p.allocate(budget, loads[name])
 		if len(allotted) > 0 {
-			p.bottlenecks = append(p.bottlenecks, Bottleneck{Service: name, Capacity: service.capacity, Running: service.running,
+			r.bottlenecks = append(r.bottlenecks, Bottleneck{Service: name, Capacity: service.capacity, Running: service.running,
 				Demand: demand, Planned: budget, QueueTime: time.Duration(service.queueTime * float64(time.Second)),
 				Correction: p.correction[name], LeastShare: least(allotted)})
 		}
 		for c, share := range allotted {
-			if old, limited := shares[c]; !limited || share < old {
-				shares[c], bottleneckOf[c] = share, name
+			if old, limited := r.shares[c]; !limited || share < old {
+				r.shares[c], r.bottleneckOf[c] = share, name
 			}
 		}
 	}
-	for c := range p.admissionCredit {
-		if _, limited := shares[c]; !limited {
-			delete(p.admissionCredit, c)
-		}
-	}
-	p.shares, p.bottleneckOf = shares, bottleneckOf
+	return r
 }
 
 // needed returns the services with at least minRuns runs per request, in order of name.
--- a/internal/request/throttle/throttle.go
+++ b/internal/request/throttle/throttle.go
@@ -41,7 +41,8 @@
 
 // New returns a throttle that admits everything. floor is the smallest admitted share of an
 // importance, relative to the admitted share of all requests (shedding.Options.Floor).
-// needs returns the services that a request of a route needs, as far as they are known.
+// needs returns the services that a request of a route needs, as far as they are known, in
+// order of name.
 func New(floor float64, rng *rand.Rand, needs func(route string) []string) *Throttle {
 	return &Throttle{floor: floor, rng: rng, needs: needs, services: make(map[string]*service)}
 }
@@ -54,7 +55,7 @@
 		}
 	}
 	for name, s := range t.services {
-		if s.learned(now, route) && !slices.Contains(t.needs(route), name) {
+		if s.learned(now, route) && !contains(t.needs(route), name) {
 			s.advance(now, t.floor)
 			s.arrive(importance)
 		}
@@ -67,7 +68,7 @@
 func (t *Throttle) Admit(now time.Time, route string, importance uint8, planned float64) (admitted bool, service string) {
 	share, limiting := planned, ""
 	for name, s := range t.services {
-		if s.share >= 1 || !slices.Contains(t.needs(route), name) && !s.learned(now, route) {
+		if s.share >= 1 || !contains(t.needs(route), name) && !s.learned(now, route) {
 			continue
 		}
 		s.advance(now, t.floor)
@@ -97,7 +98,7 @@
 	}
 	needs := t.needs(route)
 	for name, s := range t.services {
-		if slices.Contains(needs, name) || s.learned(now, route) {
+		if contains(needs, name) || s.learned(now, route) {
 			s.advance(now, t.floor)
 			s.newest().needed++
 		}
@@ -120,6 +121,12 @@
 	return s
 }
 
+// contains reports whether a sorted list has a name.
+func contains(sorted []string, name string) bool {
+	_, found := slices.BinarySearch(sorted, name)
+	return found
+}
+
 // Limit describes a service whose trees are not all admitted.
 type Limit struct {
 	Service string
--- a/internal/request/zonespill/zonespill.go
+++ b/internal/request/zonespill/zonespill.go
@@ -59,7 +59,12 @@
 // Plan holds, for the services of one daemon's zone, the share of attempts that goes to each
 // zone.
 type Plan struct {
-	zone   string
+	zone string
+	Result
+}
+
+// Result is what Compute has computed from the reports. It does not change.
+type Result struct {
 	shares map[string]map[string]float64 // by service, then by zone
 	loads  map[string]map[string]Load    // by service, then by zone
 }
@@ -96,25 +101,33 @@
 // Services returns the services with shares.
 func (p *Plan) Services() []string { return slices.Sorted(maps.Keys(p.shares)) }
 
-// Update computes the shares from the newest reports of all daemons. admitted returns the
-// share of callers' requests of a route and importance that the shedding plan admits.
+// Update computes the shares from the newest reports of all daemons and puts them in force.
 func (p *Plan) Update(reports []Report, admitted func(route string, importance uint8) float64, split shedding.TrafficSplit) {
+	p.Apply(p.Compute(reports, admitted, split))
+}
+
+// Apply puts a result in force.
+func (p *Plan) Apply(result *Result) { p.Result = *result }
+
+// Compute computes the shares from the newest reports of all daemons, without putting them in
+// force. admitted returns the share of callers' requests of a route and importance that the
+// shedding plan admits. It may run while other methods are called, apart from Apply.
+func (p *Plan) Compute(reports []Report, admitted func(route string, importance uint8) float64, split shedding.TrafficSplit) *Result {
 	zones := map[string]bool{p.zone: true}
 	for _, r := range reports {
 		zones[r.Zone] = true
 	}
 	if len(zones) < 2 {
-		p.shares, p.loads = nil, nil
-		return
+		return &Result{}
 	}
-	p.loads = loadsOf(reports, admitted, split)
-	former := p.shares
-	p.shares = make(map[string]map[string]float64, len(p.loads))
-	for service, byZone := range p.loads {
+	r := &Result{loads: loadsOf(reports, admitted, split)}
+	r.shares = make(map[string]map[string]float64, len(r.loads))
+	for service, byZone := range r.loads {
 		if target := sharesOf(byZone, p.zone); target != nil {
-			p.shares[service] = step(former[service], target)
+			r.shares[service] = step(p.shares[service], target)
 		}
 	}
+	return r
 }
 
 // times holds the mean service time of each route at a service, in seconds.
