agent: the departure of a later start holds before its first heartbeat

What callers see: requests at a server after its departure was acknowledged. A daemon that knew an earlier start of its server took a deregistration of a later start for one of the earlier start (same id), or ignored it (other id), acknowledged it, and put the later start in use with a late heartbeat.

Change: a deregistration with a later start time than the last one counts for that start. Why it works: the start time names the start, and the store's record is of the same start.

Two rows of TestServerPhases fail without the change ("a later start deregisters before its first heartbeat", "a later server ...") and pass with it.

--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -219,17 +219,18 @@
 }
 
 // deregister records that the server with this id is shutting down. The notice of a
-// former server, or of a former start under the same id, is ignored.
+// former server, or of a former start under the same id, is ignored. That of a later start may
+// come before its first heartbeat at this daemon, and late heartbeats must not undo it.
 func (s *serverState) deregister(now time.Time, id string, started int64) {
 	s.mu.Lock()
-	formerStart := started != 0 && started < s.last.Started
-	if s.last.Server != "" && (id != s.last.Server || formerStart) {
+	notice := Heartbeat{Server: id, Started: started}
+	switch later := startsBefore(s.last, notice); {
+	case s.last.Server == "" || later:
+		s.last = notice
+	case id != s.last.Server || startsBefore(notice, s.last):
 		s.mu.Unlock()
 		return
 	}
-	if s.last.Server == "" { // a late heartbeat of this start must not undo the notice
-		s.last.Server, s.last.Started = id, started
-	}
 	s.deregistered = true
 	s.last.State = StateDraining
 	s.markDraining()
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -56,6 +56,16 @@
 			s.deregister(now, "a", 1)
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
 		}, 0, wire.ServerDraining},
+		"a later start deregisters before its first heartbeat": {func(s *serverState) {
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
+			s.deregister(now, "a", 2)
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 2, 1, StateReady))
+		}, 0, wire.ServerDraining},
+		"a later server deregisters before its first heartbeat": {func(s *serverState) {
+			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
+			s.deregister(now, "b", 2)
+			_ = s.applyHeartbeat(now, testHeartbeat("b", 2, 1, StateReady))
+		}, 0, wire.ServerDraining},
 		"another server, of a release without start times, follows it": {func(s *serverState) {
 			_ = s.applyHeartbeat(now, testHeartbeat("a", 1, 5, StateReady))
 			_ = s.applyHeartbeat(now, testHeartbeat("b", 0, 1, StateDraining))
