agent: a restore of the store and the end of a daemon forget no departure

What callers see: requests at a server after its departure was acknowledged, if the store is then restored from an older copy and the daemon ends before it has written its record again.

Cause: the next process trusted a record of before the restore. Change: a record names the era for which it was written. If the store is in a later one, the server is used once heartbeats of one start have gone on for five intervals, which late ones do not, and nothing else is recorded of it until then. Why it works: a daemon that lives writes its record again in the new era, so that an old one shows that records may be lost.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -159,7 +159,7 @@
 	a.tables.peers, a.tables.metrics = a, deps.Metrics
 	a.server = newServerState(cfg.HeartbeatInterval, cfg.ServerAddress)
 	a.server.service, a.server.awaitsRecord = cfg.Service, true
-	a.recorder = newServerRecorder(deps.Store, cfg.Member, a.server, a.tables.era.Load)
+	a.recorder = newServerRecorder(deps.Store, cfg.Member, a.server, a.tables.era.Load, a.tables.noteEra)
 	a.server.warmUp, a.server.metrics = newWarmUpLimiter(cfg.HeartbeatInterval, cfg.WarmUp), deps.Metrics
 	a.fleet = newFleet(cfg.Member, cfg.Zone, a.incarnation, cfg.Tolerance)
 	exchanger := backend.NewExchanger(maxBodyBytes)
--- a/internal/process/agent/interfaces.go
+++ b/internal/process/agent/interfaces.go
@@ -53,6 +53,9 @@
 	// Leaving is true if this start of the server has announced that it is draining, or has
 	// deregistered.
 	Leaving bool
+	// Era is the era of the store for which the record was written. In a later one, the
+	// store may have lost a newer record.
+	Era uint64
 }
 
 // Store gives access to the operators' publications, to the directory of daemons and to
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -21,11 +21,9 @@
 	// refusedTime is how long a server that refused a connection gets no new work,
 	// unless it sends a heartbeat.
 	refusedTime = time.Second
-	// successorTime is for how long, in heartbeat intervals, heartbeats have to continue from a
-	// start that states an earlier start time than the last one, until they are taken for
-	// those of a new start whose clock was set back. Late heartbeats of a former start end
-	// sooner.
-	successorTime = maxMissedHeartbeats
+	// continuedTime is for how long, in heartbeat intervals, the heartbeats of a start have to
+	// go on until they show that it has not left. Late heartbeats of a former start end sooner.
+	continuedTime = maxMissedHeartbeats
 )
 
 // serverState tracks the host's backend server from its heartbeats and from refused
@@ -45,10 +43,13 @@
 	// awaitsRecord is true until the store's record of the server has been applied. Until
 	// then it is not known whether the server of a heartbeat has left.
 	awaitsRecord bool
-	last         Heartbeat
-	successor    successor
-	// superseded is the start that the last successor has followed. Its heartbeats may still
-	// arrive, and state a later start time.
+	// unsettled is true while the start of the last heartbeat may have left, since the store
+	// has lost records.
+	unsettled bool
+	last      Heartbeat
+	continued continued
+	// superseded is the start before the last one, if it states a later start time. Its
+	// heartbeats may still arrive.
 	superseded      ServerRecord
 	deregistered    bool
 	lastHeartbeatAt time.Time
@@ -62,14 +63,26 @@
 	healthPath    string // of the service, if it limits cold servers
 }
 
-// successor is a start of a server that states an earlier start time than the last one, and
-// may follow it nevertheless.
-type successor struct {
+// continued tracks the heartbeats of a start of which it is not known that it is the present
+// one.
+type continued struct {
 	server            string
 	started, sequence int64
 	since             time.Time // of the first heartbeat
 }
 
+// add adds a heartbeat and returns for how long those of its start have gone on.
+func (c *continued) add(now time.Time, h Heartbeat) time.Duration {
+	if c.server != h.Server || c.started != h.Started {
+		*c = continued{server: h.Server, started: h.Started, since: now}
+	}
+	if h.Sequence <= c.sequence {
+		return 0
+	}
+	c.sequence = h.Sequence
+	return now.Sub(c.since)
+}
+
 // ServerView is the state of the backend server at one time.
 type ServerView struct {
 	Heartbeat                  // the last one; the field State hides its State
@@ -86,21 +99,25 @@
 // errOtherAddress rejects a heartbeat whose address is not the local backend server's.
 var errOtherAddress = eris.New("the heartbeat's address is not that of this host's backend server; send it to the daemon of its own host")
 
-// record returns what has to outlast this process.
-func (s *serverState) record() ServerRecord {
+// record returns what has to outlast this process, without the era. settled is false while it
+// is not known whether the last start has left.
+func (s *serverState) record() (r ServerRecord, settled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.last.Server == "" {
-		return ServerRecord{}
+		return ServerRecord{}, !s.awaitsRecord
 	}
-	return ServerRecord{Server: s.last.Server, Started: s.last.Started, Leaving: s.deregistered || s.last.State == StateDraining}
+	r = ServerRecord{Server: s.last.Server, Started: s.last.Started, Leaving: s.deregistered || s.last.State == StateDraining}
+	return r, r.Leaving || !s.awaitsRecord && !s.unsettled
 }
 
 // restore applies the store's record, which a former process of this daemon has written. A
-// later start that was heard of meanwhile takes precedence.
-func (s *serverState) restore(now time.Time, r ServerRecord) {
+// later start that was heard of meanwhile takes precedence. In a later era than that of the
+// record, the store may have lost a departure. The server is then used once its heartbeats
+// have gone on.
+func (s *serverState) restore(now time.Time, r ServerRecord, era uint64) {
 	s.mu.Lock()
-	s.awaitsRecord = false
+	s.awaitsRecord, s.unsettled = false, r.Era < era
 	heard := s.last
 	sameStart := heard.Server == r.Server && heard.Started == r.Started
 	if r.Server != "" && (heard.Server == "" || sameStart || startsBefore(heard, Heartbeat{Server: r.Server, Started: r.Started})) {
@@ -128,7 +145,12 @@
 		s.mu.Unlock()
 		return nil
 	}
-	s.successor = successor{}
+	if s.unsettled && s.continued.add(now, h) > continuedTime*s.heartbeatInterval {
+		s.unsettled = false
+	}
+	if !s.unsettled {
+		s.continued = continued{}
+	}
 	sameStart := h.Server == s.last.Server && h.Started == s.last.Started
 	if !sameStart {
 		s.deregistered, s.drainingSince = false, 0
@@ -198,19 +220,13 @@
 	if !startsBefore(h, s.last) || s.awaitsRecord {
 		return false
 	}
-	c := &s.successor
 	if now.Sub(s.lastHeartbeatAt) <= maxMissedHeartbeats*s.heartbeatInterval {
-		*c = successor{}
-		return false
-	}
-	if c.server != h.Server || c.started != h.Started {
-		*c = successor{server: h.Server, started: h.Started, since: now}
-	}
-	if h.Sequence <= c.sequence {
+		if !s.unsettled {
+			s.continued = continued{}
+		}
 		return false
 	}
-	c.sequence = h.Sequence
-	if now.Sub(c.since) <= successorTime*s.heartbeatInterval {
+	if s.continued.add(now, h) <= continuedTime*s.heartbeatInterval {
 		return false
 	}
 	logging.WarningEvent("server", "start-time-set-back", "server", h.Server, "started", h.Started, "former", s.last.Server, "former_started", s.last.Started)
@@ -269,7 +285,7 @@
 		v.State = wire.ServerAbsent
 	case s.deregistered || s.last.State == StateDraining:
 		v.State = wire.ServerDraining
-	case s.awaitsRecord:
+	case s.awaitsRecord || s.unsettled:
 		v.State = wire.ServerAbsent
 	case now.Sub(s.lastHeartbeatAt) > maxMissedHeartbeats*s.heartbeatInterval:
 		v.State = wire.ServerAbsent
--- a/internal/process/agent/server_record.go
+++ b/internal/process/agent/server_record.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"tarragonshore.example/tarragonshore/internal/process/logging"
 )
 
@@ -36,7 +34,9 @@
 	store  Store
 	member string
 	server *serverState
-	era    func() uint64 // greatest era of the store that is known
+	// era returns the greatest era of the store that is known, and noteEra notes one.
+	era     func() uint64
+	noteEra func(uint64)
 	// due has an element if run has to be woken.
 	due chan struct{}
 	// failures bounds the log lines about failed calls.
@@ -46,17 +46,15 @@
 	epoch     uint64
 	attempted ServerRecord
 
-	mu sync.Mutex
-	// stored is the store's record, storedEra the era in which it was last known to be there.
-	stored    ServerRecord
-	storedEra uint64
-	loaded    bool
-	changed   chan struct{} // closed and replaced when one of the three changes
+	mu      sync.Mutex
+	stored  ServerRecord  // as the store is known to have it
+	loaded  bool          // stored has been read
+	changed chan struct{} // closed and replaced when one of the two changes
 }
 
-func newServerRecorder(store Store, member string, server *serverState, era func() uint64) *serverRecorder {
+func newServerRecorder(store Store, member string, server *serverState, era func() uint64, noteEra func(uint64)) *serverRecorder {
 	return &serverRecorder{
-		store: store, member: member, server: server, era: era, due: make(chan struct{}, 1),
+		store: store, member: member, server: server, era: era, noteEra: noteEra, due: make(chan struct{}, 1),
 		failures: logging.NewLimiter(maxServerRecordLines), epoch: uint64(time.Now().UnixMilli()), changed: make(chan struct{}),
 	}
 }
@@ -74,16 +72,23 @@
 func (r *serverRecorder) upToDate() (ok bool, changed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	present := r.server.record()
-	lost := r.storedEra < r.era() && present != ServerRecord{}
-	return r.loaded && r.stored == present && !lost, r.changed
+	present, settled := r.present()
+	return r.loaded && (!settled || r.stored == present || present.Server == ""), r.changed
+}
+
+// present returns the record as it should be in the store. settled is false if nothing can be
+// recorded yet.
+func (r *serverRecorder) present() (record ServerRecord, settled bool) {
+	record, settled = r.server.record()
+	record.Era = r.era()
+	return record, settled
 }
 
 // set notes what the store holds.
-func (r *serverRecorder) set(record ServerRecord, era uint64) {
+func (r *serverRecorder) set(record ServerRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stored, r.storedEra, r.loaded = record, era, true
+	r.stored, r.loaded = record, true
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -101,7 +106,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return eris.Wrap(ErrNotRecorded, "backend server "+r.server.record().Server)
+			return ErrNotRecorded
 		}
 	}
 }
@@ -133,16 +138,19 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	record, era, err := r.store.ReadServer(ctx, r.member)
-	if err == nil && era < r.era() {
-		err = errOutdatedEra
+	if err == nil {
+		r.noteEra(era)
+		if era < r.era() {
+			err = errOutdatedEra
+		}
 	}
 	if err != nil {
 		r.logFailure("record-not-read", err)
 		return false
 	}
-	r.server.restore(time.Now(), record)
-	r.set(record, era)
-	logging.InfoEvent("server", "record-read", "server", record.Server, "started", record.Started, "leaving", record.Leaving)
+	r.server.restore(time.Now(), record, max(era, r.era()))
+	r.set(record)
+	logging.InfoEvent("server", "record-read", "server", record.Server, "started", record.Started, "leaving", record.Leaving, "era", era, "era_written", record.Era)
 	return true
 }
 
@@ -150,15 +158,15 @@
 // same epoch, which the store executes at most once. Another record has a greater epoch,
 // which fences off the writes before.
 func (r *serverRecorder) write(ctx context.Context) bool {
-	record := r.server.record()
+	record, _ := r.present()
 	if record != r.attempted {
 		r.epoch++
 		r.attempted = record
 	}
 	for fenced := 0; ctx.Err() == nil; fenced++ {
-		era, err := r.writeOnce(ctx, record)
+		err := r.writeOnce(ctx, record)
 		if err == nil {
-			r.set(record, era)
+			r.set(record)
 			logging.InfoEvent("server", "recorded", "server", record.Server, "started", record.Started, "leaving", record.Leaving)
 			return true
 		}
@@ -171,10 +179,14 @@
 	return false
 }
 
-func (r *serverRecorder) writeOnce(ctx context.Context, record ServerRecord) (era uint64, err error) {
+func (r *serverRecorder) writeOnce(ctx context.Context, record ServerRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return r.store.WriteServer(ctx, r.member, record, r.epoch)
+	era, err := r.store.WriteServer(ctx, r.member, record, r.epoch)
+	if err == nil {
+		r.noteEra(era) // after a restore meanwhile, the record is written again
+	}
+	return err
 }
 
 func (r *serverRecorder) logFailure(event string, err error, details ...any) {
--- a/internal/process/agent/server_record_test.go
+++ b/internal/process/agent/server_record_test.go
@@ -64,7 +64,7 @@
 			g := NewWithT(t)
 			server := newServerState(heartbeatInterval, ownAddress)
 			server.awaitsRecord = true
-			r := newServerRecorder(store, "m", server, func() uint64 { return 0 })
+			r := newServerRecorder(store, "m", server, func() uint64 { return 0 }, func(uint64) {})
 			server.onChange = func(ServerView) { r.wake() }
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -115,40 +115,59 @@
 		_ = s.applyHeartbeat(now, testHeartbeat(id, started, sequence, StateReady))
 	}
 	for name, c := range map[string]struct {
-		events func(s *serverState)
-		want   wire.ServerState
-		record ServerRecord // afterwards
+		events    func(s *serverState)
+		want      wire.ServerState
+		record    ServerRecord // afterwards
+		unsettled bool
 	}{
-		"not read yet":           {func(s *serverState) { beat(s, "a", 5, 1) }, wire.ServerAbsent, present},
-		"none":                   {func(s *serverState) { s.restore(now, ServerRecord{}); beat(s, "a", 5, 1) }, wire.ServerReady, present},
-		"none, after heartbeat":  {func(s *serverState) { beat(s, "a", 5, 1); s.restore(now, ServerRecord{}) }, wire.ServerReady, present},
-		"present":                {func(s *serverState) { s.restore(now, present) }, wire.ServerAbsent, present},
-		"present, heartbeat":     {func(s *serverState) { s.restore(now, present); beat(s, "a", 5, 1) }, wire.ServerReady, present},
-		"left, late heartbeat":   {func(s *serverState) { s.restore(now, left); beat(s, "a", 5, 9) }, wire.ServerDraining, left},
-		"late heartbeat, left":   {func(s *serverState) { beat(s, "a", 5, 9); s.restore(now, left) }, wire.ServerDraining, left},
-		"heartbeat before left":  {func(s *serverState) { beat(s, "z", 4, 9); s.restore(now, left) }, wire.ServerDraining, left},
-		"left, earlier start":    {func(s *serverState) { s.restore(now, left); beat(s, "z", 4, 9) }, wire.ServerDraining, left},
-		"present, earlier start": {func(s *serverState) { s.restore(now, present); beat(s, "z", 4, 9) }, wire.ServerAbsent, present},
-		"left, another writer":   {func(s *serverState) { s.restore(now, left); beat(s, "a", 0, 99) }, wire.ServerDraining, left},
-		"left, new start":        {func(s *serverState) { s.restore(now, left); beat(s, "a", 6, 1) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}},
-		"new start, left":        {func(s *serverState) { beat(s, "a", 6, 1); s.restore(now, left) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}},
-		"left, other id":         {func(s *serverState) { s.restore(now, left); beat(s, "b", 6, 1) }, wire.ServerReady, ServerRecord{Server: "b", Started: 6}},
-		"left, release without start times": {func(s *serverState) { s.restore(now, left); beat(s, "b", 0, 1) }, wire.ServerReady,
-			ServerRecord{Server: "b"}},
-		"deregistered before the record is read": {func(s *serverState) { s.deregister(now, "a", 5); s.restore(now, present) }, wire.ServerDraining, left},
+		"not read yet":           {func(s *serverState) { beat(s, "a", 5, 1) }, wire.ServerAbsent, present, true},
+		"none":                   {func(s *serverState) { s.restore(now, ServerRecord{}, 0); beat(s, "a", 5, 1) }, wire.ServerReady, present, false},
+		"none, after heartbeat":  {func(s *serverState) { beat(s, "a", 5, 1); s.restore(now, ServerRecord{}, 0) }, wire.ServerReady, present, false},
+		"present":                {func(s *serverState) { s.restore(now, present, 0) }, wire.ServerAbsent, present, false},
+		"present, heartbeat":     {func(s *serverState) { s.restore(now, present, 0); beat(s, "a", 5, 1) }, wire.ServerReady, present, false},
+		"left, late heartbeat":   {func(s *serverState) { s.restore(now, left, 0); beat(s, "a", 5, 9) }, wire.ServerDraining, left, false},
+		"late heartbeat, left":   {func(s *serverState) { beat(s, "a", 5, 9); s.restore(now, left, 0) }, wire.ServerDraining, left, false},
+		"heartbeat before left":  {func(s *serverState) { beat(s, "z", 4, 9); s.restore(now, left, 0) }, wire.ServerDraining, left, false},
+		"left, earlier start":    {func(s *serverState) { s.restore(now, left, 0); beat(s, "z", 4, 9) }, wire.ServerDraining, left, false},
+		"present, earlier start": {func(s *serverState) { s.restore(now, present, 0); beat(s, "z", 4, 9) }, wire.ServerAbsent, present, false},
+		"left, another writer":   {func(s *serverState) { s.restore(now, left, 0); beat(s, "a", 0, 99) }, wire.ServerDraining, left, false},
+		"left, new start":        {func(s *serverState) { s.restore(now, left, 0); beat(s, "a", 6, 1) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}, false},
+		"new start, left":        {func(s *serverState) { beat(s, "a", 6, 1); s.restore(now, left, 0) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}, false},
+		"left, other id":         {func(s *serverState) { s.restore(now, left, 0); beat(s, "b", 6, 1) }, wire.ServerReady, ServerRecord{Server: "b", Started: 6}, false},
+		"left, release without start times": {func(s *serverState) { s.restore(now, left, 0); beat(s, "b", 0, 1) }, wire.ServerReady,
+			ServerRecord{Server: "b"}, false},
+		"deregistered before the record is read": {func(s *serverState) { s.deregister(now, "a", 5); s.restore(now, present, 0) }, wire.ServerDraining, left, false},
 		"start time set back": {func(s *serverState) {
-			s.restore(now, left)
+			s.restore(now, left, 0)
 			for i := range int64(8) {
 				_ = s.applyHeartbeat(now.Add(-time.Duration(7-i)*heartbeatInterval), testHeartbeat("b", 3, i+1, StateReady))
 			}
 			beat(s, "a", 5, 9) // late
-		}, wire.ServerReady, ServerRecord{Server: "b", Started: 3}},
+		}, wire.ServerReady, ServerRecord{Server: "b", Started: 3}, false},
+		"the store has lost records": {func(s *serverState) { s.restore(now, present, 1); beat(s, "a", 5, 2) }, wire.ServerAbsent, present, true},
+		"the store has lost all":     {func(s *serverState) { s.restore(now, ServerRecord{}, 1); beat(s, "a", 5, 2) }, wire.ServerAbsent, present, true},
+		"the store has lost records, new start": {func(s *serverState) { s.restore(now, present, 1); beat(s, "a", 6, 2) }, wire.ServerAbsent,
+			ServerRecord{Server: "a", Started: 6}, true},
+		"the store has lost records, left": {func(s *serverState) { s.restore(now, present, 1); s.deregister(now, "a", 5); beat(s, "a", 5, 2) },
+			wire.ServerDraining, left, false},
+		"the store has lost records, heartbeats go on": {func(s *serverState) {
+			s.restore(now, present, 1)
+			for i := range int64(8) {
+				_ = s.applyHeartbeat(now.Add(-time.Duration(7-i)*heartbeatInterval), testHeartbeat("a", 5, i+1, StateReady))
+			}
+		}, wire.ServerReady, present, false},
+		"the store has lost records, late heartbeats": {func(s *serverState) {
+			s.restore(now, present, 1)
+			for i := range int64(8) { // of two starts
+				_ = s.applyHeartbeat(now.Add(-time.Duration(7-i)*heartbeatInterval), testHeartbeat("a", 5+i/4, i+1, StateReady))
+			}
+		}, wire.ServerAbsent, ServerRecord{Server: "a", Started: 6}, true},
 		"late heartbeats of an earlier start": {func(s *serverState) {
-			s.restore(now, left)
+			s.restore(now, left, 0)
 			for i := range int64(5) {
 				_ = s.applyHeartbeat(now.Add(-time.Duration(4-i)*heartbeatInterval), testHeartbeat("z", 3, i+1, StateReady))
 			}
-		}, wire.ServerDraining, left},
+		}, wire.ServerDraining, left, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -156,7 +175,9 @@
 			s.awaitsRecord = true
 			c.events(s)
 			g.Expect(s.view(now).State).To(Equal(c.want))
-			g.Expect(s.record()).To(Equal(c.record))
+			record, settled := s.record()
+			g.Expect(record).To(Equal(c.record))
+			g.Expect(settled).To(Equal(!c.unsettled))
 		})
 	}
 }
