tarragon-agent: SIGHUPs do not displace a SIGTERM

What callers see: requests cut off without a planned stop. Three SIGHUPs that arrive while the settings are read fill the channel of signals, and a SIGTERM that follows is lost: the process serves on until the platform kills it.

Change: a channel for the signals that begin a stop, and one for SIGHUP.

--- a/cmd/tarragon-agent/main.go
+++ b/cmd/tarragon-agent/main.go
@@ -101,18 +101,12 @@
 		logging.ErrorEvent("agent", "composition-failed", err)
 		return exitFailed
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stops, hangups := notifySignals()
 	if err := app.Start(context.Background()); err != nil {
 		logging.ErrorEvent("agent", "start-failed", err)
 		return exitFailed
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		reload(path)
-	}
+	waitForStop(stops, hangups, func() { reload(path) })
 	stop, cancel := context.WithTimeout(context.Background(), loaded.Platform.Grace-shutdownMargin)
 	defer cancel()
 	if err := app.Stop(stop); err != nil {
@@ -122,6 +116,28 @@
 	return exitStopped
 }
 
+// notifySignals returns channels for the signals that begin a stop and for SIGHUP. They are
+// separate, since a channel that is full loses signals: SIGHUPs during a reload must not
+// displace a SIGTERM.
+func notifySignals() (stops, hangups chan os.Signal) {
+	stops, hangups = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return stops, hangups
+}
+
+// waitForStop waits for a signal that begins a stop, and calls reload for each SIGHUP before.
+func waitForStop(stops, hangups <-chan os.Signal, reload func()) {
+	for {
+		select {
+		case <-stops:
+			return
+		case <-hangups:
+			reload()
+		}
+	}
+}
+
 // reload reads and validates the settings on SIGHUP. It applies none of them: all
 // settings take effect at the next start.
 func reload(path string) {
