agent: the late departure of a start with a later start time ends no present start

A start whose clock was set back follows one with a later start time. A late deregistration of the former one would have been taken for that of a later start and have put the present one out of use. Found by reading the change. A row of TestRecordOfAFormerProcess ("start time set back") guards it. applyRecord is named after what it applies, not after the restore of the store.

--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -111,11 +111,11 @@
 	return r, r.Leaving || !s.awaitsRecord && !s.unsettled
 }
 
-// restore applies the store's record, which a former process of this daemon has written. A
+// applyRecord applies the store's record, which a former process of this daemon has written. A
 // later start that was heard of meanwhile takes precedence. In a later era than that of the
 // record, the store may have lost a departure. The server is then used once its heartbeats
 // have gone on.
-func (s *serverState) restore(now time.Time, r ServerRecord, era uint64) {
+func (s *serverState) applyRecord(now time.Time, r ServerRecord, era uint64) {
 	s.mu.Lock()
 	s.awaitsRecord, s.unsettled = false, r.Era < era
 	heard := s.last
@@ -240,8 +240,11 @@
 func (s *serverState) deregister(now time.Time, id string, started int64) {
 	s.mu.Lock()
 	notice := Heartbeat{Server: id, Started: started}
-	switch later := startsBefore(s.last, notice); {
-	case s.last.Server == "" || later:
+	switch {
+	case s.superseded == (ServerRecord{Server: id, Started: started}):
+		s.mu.Unlock()
+		return
+	case s.last.Server == "" || startsBefore(s.last, notice):
 		s.last = notice
 	case id != s.last.Server || startsBefore(notice, s.last):
 		s.mu.Unlock()
--- a/internal/process/agent/server_record.go
+++ b/internal/process/agent/server_record.go
@@ -148,7 +148,7 @@
 		r.logFailure("record-not-read", err)
 		return false
 	}
-	r.server.restore(time.Now(), record, max(era, r.era()))
+	r.server.applyRecord(time.Now(), record, max(era, r.era()))
 	r.set(record)
 	logging.InfoEvent("server", "record-read", "server", record.Server, "started", record.Started, "leaving", record.Leaving, "era", era, "era_written", record.Era)
 	return true
--- a/internal/process/agent/server_test.go
+++ b/internal/process/agent/server_test.go
@@ -121,49 +121,50 @@
 		unsettled bool
 	}{
 		"not read yet":           {func(s *serverState) { beat(s, "a", 5, 1) }, wire.ServerAbsent, present, true},
-		"none":                   {func(s *serverState) { s.restore(now, ServerRecord{}, 0); beat(s, "a", 5, 1) }, wire.ServerReady, present, false},
-		"none, after heartbeat":  {func(s *serverState) { beat(s, "a", 5, 1); s.restore(now, ServerRecord{}, 0) }, wire.ServerReady, present, false},
-		"present":                {func(s *serverState) { s.restore(now, present, 0) }, wire.ServerAbsent, present, false},
-		"present, heartbeat":     {func(s *serverState) { s.restore(now, present, 0); beat(s, "a", 5, 1) }, wire.ServerReady, present, false},
-		"left, late heartbeat":   {func(s *serverState) { s.restore(now, left, 0); beat(s, "a", 5, 9) }, wire.ServerDraining, left, false},
-		"late heartbeat, left":   {func(s *serverState) { beat(s, "a", 5, 9); s.restore(now, left, 0) }, wire.ServerDraining, left, false},
-		"heartbeat before left":  {func(s *serverState) { beat(s, "z", 4, 9); s.restore(now, left, 0) }, wire.ServerDraining, left, false},
-		"left, earlier start":    {func(s *serverState) { s.restore(now, left, 0); beat(s, "z", 4, 9) }, wire.ServerDraining, left, false},
-		"present, earlier start": {func(s *serverState) { s.restore(now, present, 0); beat(s, "z", 4, 9) }, wire.ServerAbsent, present, false},
-		"left, another writer":   {func(s *serverState) { s.restore(now, left, 0); beat(s, "a", 0, 99) }, wire.ServerDraining, left, false},
-		"left, new start":        {func(s *serverState) { s.restore(now, left, 0); beat(s, "a", 6, 1) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}, false},
-		"new start, left":        {func(s *serverState) { beat(s, "a", 6, 1); s.restore(now, left, 0) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}, false},
-		"left, other id":         {func(s *serverState) { s.restore(now, left, 0); beat(s, "b", 6, 1) }, wire.ServerReady, ServerRecord{Server: "b", Started: 6}, false},
-		"left, release without start times": {func(s *serverState) { s.restore(now, left, 0); beat(s, "b", 0, 1) }, wire.ServerReady,
+		"none":                   {func(s *serverState) { s.applyRecord(now, ServerRecord{}, 0); beat(s, "a", 5, 1) }, wire.ServerReady, present, false},
+		"none, after heartbeat":  {func(s *serverState) { beat(s, "a", 5, 1); s.applyRecord(now, ServerRecord{}, 0) }, wire.ServerReady, present, false},
+		"present":                {func(s *serverState) { s.applyRecord(now, present, 0) }, wire.ServerAbsent, present, false},
+		"present, heartbeat":     {func(s *serverState) { s.applyRecord(now, present, 0); beat(s, "a", 5, 1) }, wire.ServerReady, present, false},
+		"left, late heartbeat":   {func(s *serverState) { s.applyRecord(now, left, 0); beat(s, "a", 5, 9) }, wire.ServerDraining, left, false},
+		"late heartbeat, left":   {func(s *serverState) { beat(s, "a", 5, 9); s.applyRecord(now, left, 0) }, wire.ServerDraining, left, false},
+		"heartbeat before left":  {func(s *serverState) { beat(s, "z", 4, 9); s.applyRecord(now, left, 0) }, wire.ServerDraining, left, false},
+		"left, earlier start":    {func(s *serverState) { s.applyRecord(now, left, 0); beat(s, "z", 4, 9) }, wire.ServerDraining, left, false},
+		"present, earlier start": {func(s *serverState) { s.applyRecord(now, present, 0); beat(s, "z", 4, 9) }, wire.ServerAbsent, present, false},
+		"left, another writer":   {func(s *serverState) { s.applyRecord(now, left, 0); beat(s, "a", 0, 99) }, wire.ServerDraining, left, false},
+		"left, new start":        {func(s *serverState) { s.applyRecord(now, left, 0); beat(s, "a", 6, 1) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}, false},
+		"new start, left":        {func(s *serverState) { beat(s, "a", 6, 1); s.applyRecord(now, left, 0) }, wire.ServerReady, ServerRecord{Server: "a", Started: 6}, false},
+		"left, other id":         {func(s *serverState) { s.applyRecord(now, left, 0); beat(s, "b", 6, 1) }, wire.ServerReady, ServerRecord{Server: "b", Started: 6}, false},
+		"left, release without start times": {func(s *serverState) { s.applyRecord(now, left, 0); beat(s, "b", 0, 1) }, wire.ServerReady,
 			ServerRecord{Server: "b"}, false},
-		"deregistered before the record is read": {func(s *serverState) { s.deregister(now, "a", 5); s.restore(now, present, 0) }, wire.ServerDraining, left, false},
+		"deregistered before the record is read": {func(s *serverState) { s.deregister(now, "a", 5); s.applyRecord(now, present, 0) }, wire.ServerDraining, left, false},
 		"start time set back": {func(s *serverState) {
-			s.restore(now, left, 0)
+			s.applyRecord(now, left, 0)
 			for i := range int64(8) {
 				_ = s.applyHeartbeat(now.Add(-time.Duration(7-i)*heartbeatInterval), testHeartbeat("b", 3, i+1, StateReady))
 			}
 			beat(s, "a", 5, 9) // late
+			s.deregister(now, "a", 5)
 		}, wire.ServerReady, ServerRecord{Server: "b", Started: 3}, false},
-		"the store has lost records": {func(s *serverState) { s.restore(now, present, 1); beat(s, "a", 5, 2) }, wire.ServerAbsent, present, true},
-		"the store has lost all":     {func(s *serverState) { s.restore(now, ServerRecord{}, 1); beat(s, "a", 5, 2) }, wire.ServerAbsent, present, true},
-		"the store has lost records, new start": {func(s *serverState) { s.restore(now, present, 1); beat(s, "a", 6, 2) }, wire.ServerAbsent,
+		"the store has lost records": {func(s *serverState) { s.applyRecord(now, present, 1); beat(s, "a", 5, 2) }, wire.ServerAbsent, present, true},
+		"the store has lost all":     {func(s *serverState) { s.applyRecord(now, ServerRecord{}, 1); beat(s, "a", 5, 2) }, wire.ServerAbsent, present, true},
+		"the store has lost records, new start": {func(s *serverState) { s.applyRecord(now, present, 1); beat(s, "a", 6, 2) }, wire.ServerAbsent,
 			ServerRecord{Server: "a", Started: 6}, true},
-		"the store has lost records, left": {func(s *serverState) { s.restore(now, present, 1); s.deregister(now, "a", 5); beat(s, "a", 5, 2) },
+		"the store has lost records, left": {func(s *serverState) { s.applyRecord(now, present, 1); s.deregister(now, "a", 5); beat(s, "a", 5, 2) },
 			wire.ServerDraining, left, false},
 		"the store has lost records, heartbeats go on": {func(s *serverState) {
-			s.restore(now, present, 1)
+			s.applyRecord(now, present, 1)
 			for i := range int64(8) {
 				_ = s.applyHeartbeat(now.Add(-time.Duration(7-i)*heartbeatInterval), testHeartbeat("a", 5, i+1, StateReady))
 			}
 		}, wire.ServerReady, present, false},
 		"the store has lost records, late heartbeats": {func(s *serverState) {
-			s.restore(now, present, 1)
+			s.applyRecord(now, present, 1)
 			for i := range int64(8) { // of two starts
 				_ = s.applyHeartbeat(now.Add(-time.Duration(7-i)*heartbeatInterval), testHeartbeat("a", 5+i/4, i+1, StateReady))
 			}
 		}, wire.ServerAbsent, ServerRecord{Server: "a", Started: 6}, true},
 		"late heartbeats of an earlier start": {func(s *serverState) {
-			s.restore(now, left, 0)
+			s.applyRecord(now, left, 0)
 			for i := range int64(5) {
 				_ = s.applyHeartbeat(now.Add(-time.Duration(4-i)*heartbeatInterval), testHeartbeat("z", 3, i+1, StateReady))
 			}
